--- a/internal/core/dispatch/dispatch_test.go
+++ b/internal/core/dispatch/dispatch_test.go
@@ -328,6 +328,28 @@
 		is.Equal(len(here.TakeTotals(there.Contribution(now), nil)), 1)
 		is.Equal(count(t, here, 1000), 0)
 	})
+	t.Run("a fleet that starts late in a rollout holds slow answers against the time that the route wants", func(t *testing.T) {
+		d := newDispatcher(both...)
+		late := order
+		late.Progress.Stage = 99
+		d.SetRollouts(now, []catalog.Rollout{late}, 0)
+		route := model(catalog.Safe)
+		route.Models = nil
+		for i := range 30 {
+			task := begin(t, d, route, strconv.Itoa(i))
+			call := next(t, d, task)
+			wait := route.Target / 4
+			if i%2 == 0 {
+				wait = route.Target * 2
+			}
+			d.Started(now.Add(wait), task, call, -1)
+			d.Ended(now.Add(wait), task, call, Served)
+		}
+		verdicts := d.TakeTotals(nil, nil)
+		is := is.New(t)
+		is.Equal(len(verdicts), 1)
+		is.Equal(verdicts[0].Reason, releases.ReasonSlow)
+	})
 	t.Run("a crash of the new upstreams is not held against their version", func(t *testing.T) {
 		is := is.New(t)
 		d := newDispatcher(both...)
--- a/internal/core/dispatch/means.go
+++ b/internal/core/dispatch/means.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"mimosayard/internal/core/catalog"
 	"mimosayard/internal/core/tables"
 )
 
@@ -81,11 +82,14 @@
 	return float64(call.MeanPause()) < float64(p.pause.value)/quickFactor, true
 }
 
-// slow reports whether an answer took several times longer than usual.
+// slow reports whether an answer took several times longer than usual. Where
+// nothing is known of what is usual, as after a start late in a rollout, a whole
+// answer is slow beyond the time that its route wants.
 func (s *service) slow(task *Task, call *Call) bool {
 	p := s.paces[paceKey{task.Request.Route.Class(), call.Model}]
-	if p == nil {
-		return false
+	if p == nil || p.wait.samples < paceSamples {
+		route := task.Request.Route
+		return route.Kind != catalog.Streaming && route.Target > 0 && call.waited > route.Target
 	}
 	return p.wait.exceeded(call.waited) || (call.events > 0 && p.pause.exceeded(call.MeanPause()))
 }
--- a/internal/core/releases/releases.go
+++ b/internal/core/releases/releases.go
@@ -8,9 +8,11 @@
 package releases
 
 import (
+	"math"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"gonum.org/v1/gonum/stat/distuv"
 
 	"mimosayard/internal/core/catalog"
 	"mimosayard/internal/core/tables"
@@ -139,6 +141,21 @@
 	manyOfOne    = 14
 )
 
+const (
+	// plainSlow and plainFails are the parts of slow and of failed answers that
+	// any version has without streams, streamSlow that of slow streams with
+	// nothing in the caches.
+	plainSlow  = 0.03
+	plainFails = 0.05
+	streamSlow = 0.3
+	// verdictChance is the chance of a wrong verdict from a look at the slow
+	// answers, of which a rollout has some dozens. A wrong verdict costs the
+	// operator another rollout.
+	verdictChance = 0.001
+	// doubtChance is that of a wait, which only costs time.
+	doubtChance = 0.02
+)
+
 // The reasons.
 const (
 	ReasonNone  Reason = ""
@@ -223,6 +240,8 @@
 	Capacity float64
 	// Runs is the number of requests that the target has run for the fleet.
 	Runs float64
+	// InDoubt says that the evidence against the target may be chance.
+	InDoubt bool
 }
 
 // Next returns the progress that the store should have, and false if it has
@@ -254,7 +273,7 @@
 
 // able reports whether the target may get more than the first shares.
 func (r *Release) able(now time.Time, target Readiness) bool {
-	if target.Capacity < leastCapacity {
+	if target.Capacity < leastCapacity || target.InDoubt {
 		r.ableSince = time.Time{}
 		return false
 	}
@@ -295,12 +314,41 @@
 	if fresh.Slow >= fewSlow && rate(fresh.Slow, fresh.Runs)-rate(old.Slow, old.Runs) > slowExcess {
 		return ReasonSlow
 	}
+	if !streams(fresh, old) && chance(fresh.Slow, fresh.Runs, max(plainSlow, rate(old.Slow, old.Runs))) < verdictChance {
+		return ReasonSlow
+	}
 	if fresh.Paced >= fewPaced && fresh.Quick < quickPart*fresh.Paced && old.Quick >= oldQuickPart*old.Paced {
 		return ReasonSlow
 	}
 	return ReasonNone
 }
 
+// Doubts reports whether the answers of a new version are worse than those of
+// the old one by more than chance easily gives. In a short rollout, or one of a
+// service with few requests, that is all there is to learn before the end.
+func Doubts(fresh, old Evidence) bool {
+	slow := plainSlow
+	if streams(fresh, old) {
+		slow = streamSlow
+	}
+	return chance(fresh.Slow, fresh.Runs, max(slow, rate(old.Slow, old.Runs))) < doubtChance ||
+		chance(fresh.Fails, fresh.Runs, max(plainFails, rate(old.Fails, old.Runs))) < doubtChance
+}
+
+// streams reports whether there are streams among the answers.
+func streams(fresh, old Evidence) bool {
+	return fresh.Paced+old.Paced > 0
+}
+
+// chance returns the probability of at least so many hits among the runs if
+// each is one with the probability given.
+func chance(hits, runs, probability float64) float64 {
+	if hits <= 0 {
+		return 1
+	}
+	return 1 - distuv.Binomial{N: math.Max(hits, runs), P: math.Min(probability, 1)}.CDF(hits-1)
+}
+
 // Add adds the counts of another evidence.
 func (e *Evidence) Add(other Evidence) {
 	e.Runs += other.Runs
--- a/internal/core/releases/releases_test.go
+++ b/internal/core/releases/releases_test.go
@@ -72,6 +72,17 @@
 		is.True(due)
 		is.Equal(progress.State, catalog.RolledBack)
 	})
+	t.Run("does not move more work to a version in doubt", func(t *testing.T) {
+		is := is.New(t)
+		doubted := ready
+		doubted.InDoubt = true
+		r := seen(catalog.Progress{State: catalog.InProgress, Stage: lastEarly})
+		_, due := r.Next(start.Add(24*time.Second), bound, doubted)
+		is.True(!due)
+		r = seen(catalog.Progress{State: catalog.InProgress, Stage: len(stages) - 1})
+		_, due = r.Next(start.Add(24*time.Second), bound, doubted)
+		is.True(!due)
+	})
 	t.Run("asks for nothing after the end", func(t *testing.T) {
 		_, due := seen(catalog.Progress{State: catalog.RolledBack}).Next(start.Add(time.Hour), bound, ready)
 		is.New(t).True(!due)
@@ -174,6 +185,32 @@
 	})
 }
 
+// TestPlain compares versions of a service whose answers are no streams: no
+// cache makes a new version's first answers slow.
+func TestPlain(t *testing.T) {
+	old := Evidence{Runs: 198, Fails: 12, Slow: 2}
+	for _, c := range []struct {
+		name   string
+		fresh  Evidence
+		want   Reason
+		doubts bool
+	}{
+		{"nothing is known", Evidence{}, ReasonNone, false},
+		{"one of three is slow", Evidence{Runs: 3, Slow: 1}, ReasonNone, false},
+		{"two of six are slow", Evidence{Runs: 6, Slow: 2}, ReasonNone, true},
+		{"three of seven are slow", Evidence{Runs: 7, Slow: 3}, ReasonSlow, true},
+		{"as many are slow as before", Evidence{Runs: 200, Slow: 3}, ReasonNone, false},
+		{"two of three fail", Evidence{Runs: 3, Fails: 2}, ReasonNone, true},
+		{"as many fail as before", Evidence{Runs: 50, Fails: 4}, ReasonNone, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(Judge(c.fresh, old, 2), c.want)
+			is.Equal(Doubts(c.fresh, old), c.doubts)
+		})
+	}
+}
+
 func TestJudge(t *testing.T) {
 	old := Evidence{Runs: 300, Fails: 12, Slow: 6, Paced: 200, Quick: 80}
 	for _, c := range []struct {
