--- a/internal/core/dispatch/dispatch.go
+++ b/internal/core/dispatch/dispatch.go
@@ -48,8 +48,8 @@
 	upstreams []*placing.Upstream
 	// common is the version of most upstreams, empty when it is not known.
 	common tables.VersionID
-	// chosen is kept between choices, to make no garbage.
-	chosen  []*placing.Upstream
+	// split are the upstreams by version, as they were last asked for.
+	split   split
 	release releases.Release
 	retries retries.Window
 	// evidence counts answers by version and route while a rollout goes on.
@@ -62,6 +62,13 @@
 	paces map[paceKey]*pace
 }
 
+// split divides a service's upstreams by one version.
+type split struct {
+	version tables.VersionID
+	// of are those of the version, others the rest. Both are only read.
+	of, others []*placing.Upstream
+}
+
 // evidenceKey names an evidence: the answers of a version on a route.
 type evidenceKey struct {
 	version tables.VersionID
@@ -152,6 +159,7 @@
 		}
 		s.upstreams = nil
 		s.common = ""
+		s.split = split{}
 	}
 	for _, entry := range entries {
 		u := known[entry.ID]
--- a/internal/core/dispatch/dispatch_test.go
+++ b/internal/core/dispatch/dispatch_test.go
@@ -307,6 +307,42 @@
 	})
 }
 
+// TestHotParts plays a load of many callers who ask about one thing: the parts
+// that their prompts share are read by one upstream and fetched by the others
+// that have to help it.
+func TestHotParts(t *testing.T) {
+	is := is.New(t)
+	d := newDispatcher(upstreams("v1", 6)...)
+	route := model(catalog.Streaming)
+	readers, helpers := map[string]int{}, map[tables.UpstreamID]int{}
+	for i := range 200 {
+		task := begin(t, d, route, strconv.Itoa(i))
+		task.Request.Prompt = 6000
+		call := next(t, d, task)
+		if call.Fetch == "" {
+			readers[string(call.Upstream.ID)]++
+		} else {
+			helpers[call.Upstream.ID]++
+		}
+	}
+	is.Equal(len(readers), 1)
+	is.True(len(helpers) > 1)
+}
+
+// TestWorkAfterTheStart checks that an upstream that has read its prompts is
+// taken for less busy than one that still has to.
+func TestWorkAfterTheStart(t *testing.T) {
+	is := is.New(t)
+	d := newDispatcher(upstreams("v1", 1)...)
+	task := begin(t, d, model(catalog.Streaming), "a")
+	call := next(t, d, task)
+	before := call.upstream.Work()
+	is.True(d.Started(now, task, call, 100))
+	is.True(call.upstream.Work() < before)
+	d.Ended(now, task, call, Served)
+	is.Equal(call.upstream.Work(), 0.0)
+}
+
 func TestEvidence(t *testing.T) {
 	both := append(upstreams("v1", 6), upstreams("v2", 6)...)
 	order := catalog.Rollout{Service: "llm", Target: "v2", Duration: 24 * time.Second, Progress: catalog.Progress{State: catalog.InProgress}}
--- a/internal/core/dispatch/models.go
+++ b/internal/core/dispatch/models.go
@@ -32,6 +32,9 @@
 	// leastWork is the work of a request on the cheapest model; a request on
 	// the dearest one counts as one.
 	leastWork = 0.2
+	// startedPart is the part of a call's work that is left once its answer has
+	// started: its prompt no longer keeps others waiting, its events slow them.
+	startedPart = 0.6
 	// startFactor and leastStart bound the wait for the start of an answer, as
 	// a multiple of the usual one and at least.
 	startFactor = 6
--- a/internal/core/dispatch/task.go
+++ b/internal/core/dispatch/task.go
@@ -53,6 +53,9 @@
 	// Urgency is the order among the prompts that wait at the upstream, from 0,
 	// the first, to 9. It is nil where the upstream has no such order.
 	Urgency *int
+	// Fetch is the address of the upstream that most likely has read what the
+	// prompt shares with others, empty if that is the call's own.
+	Fetch string
 	// Start bounds the wait for the start of the answer. Zero is no bound but
 	// the deadline.
 	Start time.Duration
@@ -121,7 +124,7 @@
 		return nil, fault
 	}
 	version, candidates := d.candidates(now, task)
-	u := d.chooser.Choose(now, candidates, placing.Need{Key: task.key(), Home: d.home, Tried: task.tried})
+	u, reader := d.chooser.Choose(now, candidates, placing.Need{Key: task.key(), Home: d.home, Tried: task.tried})
 	if u == nil {
 		return nil, noUpstream(task.service.name)
 	}
@@ -140,6 +143,9 @@
 		work:     d.workOf(task) * sizeOf(task),
 		sent:     now,
 	}
+	if reader != nil && reader != u {
+		call.Fetch = reader.Address
+	}
 	u.Start(call.work)
 	d.remember(now, task)
 	return call, nil
@@ -153,6 +159,7 @@
 	defer d.mutex.Unlock()
 	call.started = true
 	call.waited = now.Sub(call.sent)
+	d.haveRead(call)
 	larger := d.escalate(now, task, confidence)
 	if larger == "" {
 		return true
@@ -162,6 +169,16 @@
 	return false
 }
 
+// haveRead takes off the work of a prompt that the upstream has read.
+func (d *Dispatcher) haveRead(call *Call) {
+	if call.Model == "" {
+		return
+	}
+	read := call.work * (1 - startedPart)
+	call.upstream.Finish(read)
+	call.work -= read
+}
+
 // MeanPause returns the mean pause between the events of the answer.
 func (c *Call) MeanPause() time.Duration {
 	return c.pauses / time.Duration(max(1, c.events))
--- a/internal/core/dispatch/versions.go
+++ b/internal/core/dispatch/versions.go
@@ -129,13 +129,25 @@
 }
 
 // ofVersion returns the upstreams of the version, or all the others. The result
-// holds until the next call.
+// must not be changed.
 func (s *service) ofVersion(version tables.VersionID, same bool) []*placing.Upstream {
-	s.chosen = s.chosen[:0]
-	for _, u := range s.upstreams {
-		if (u.Version == version) == same {
-			s.chosen = append(s.chosen, u)
+	if s.split.version != version || s.split.of == nil {
+		s.split = splitBy(version, s.upstreams)
+	}
+	if same {
+		return s.split.of
+	}
+	return s.split.others
+}
+
+func splitBy(version tables.VersionID, upstreams []*placing.Upstream) split {
+	parts := split{version: version, of: []*placing.Upstream{}}
+	for _, u := range upstreams {
+		if u.Version == version {
+			parts.of = append(parts.of, u)
+		} else {
+			parts.others = append(parts.others, u)
 		}
 	}
-	return s.chosen
+	return parts
 }
--- a/internal/core/placing/placing.go
+++ b/internal/core/placing/placing.go
@@ -8,9 +8,10 @@
 package placing
 
 import (
-	"encoding/binary"
 	"math"
+	"math/bits"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -21,11 +22,18 @@
 
 // An Upstream is one upstream with what the instance knows of its state.
 type Upstream struct {
-	catalog.Upstream
 	// Own is the work in flight from this instance, Others from the rest of
 	// the fleet.
 	Own    float64
 	Others float64
+	// hash is the hash of the ID.
+	hash uint64
+	// restUntil keeps new work away from an upstream that failed.
+	restUntil time.Time
+	// misnamed says that another upstream has the address.
+	misnamed bool
+
+	catalog.Upstream
 	// Runs and Fails count recent calls of this instance. They fade.
 	Runs  float64
 	Fails float64
@@ -34,15 +42,9 @@
 	FleetFails float64
 
 	// left is when the upstream was seen to leave, zero while it has not.
-	left time.Time
-	// misnamed says that another upstream has the address.
-	misnamed bool
-	// restUntil keeps new work away from an upstream that failed.
-	restUntil time.Time
-	strikes   int
-	fadedAt   time.Time
-	// hash is the hash of the ID.
-	hash uint64
+	left    time.Time
+	strikes int
+	fadedAt time.Time
 }
 
 // A Need is what a request needs of an upstream.
@@ -60,7 +62,7 @@
 	// cache, as a multiple of the mean and an amount above it. A request that
 	// is moved has to be read from the start.
 	overload = 1.3
-	spare    = 1.2
+	spare    = 1.6
 	// farPenalty is the work that a nearer upstream may have more.
 	farPenalty = 0.15
 	// fadeTime is the half-life of counts of calls.
@@ -147,7 +149,7 @@
 
 // Rested reports whether the upstream is not in a pause after failures.
 func (u *Upstream) Rested(now time.Time) bool {
-	return !now.Before(u.restUntil)
+	return u.restUntil.IsZero() || !now.Before(u.restUntil)
 }
 
 // A Chooser chooses upstreams. It is not safe for concurrent use.
@@ -157,18 +159,15 @@
 	candidates []*Upstream
 }
 
-// Choose returns the upstream for the need, or nil if none is left. Upstreams
-// that rest or were tried are taken only if there is no other.
-func (c *Chooser) Choose(now time.Time, upstreams []*Upstream, need Need) *Upstream {
-	for _, allowed := range []func(u *Upstream) bool{
-		func(u *Upstream) bool { return u.Usable() && u.Rested(now) && !need.tried(u) },
-		func(u *Upstream) bool { return u.Usable() && !need.tried(u) },
-		func(u *Upstream) bool { return u.Leaving(now) && !need.tried(u) },
-		func(u *Upstream) bool { return u.Usable() },
-	} {
+// Choose returns the upstream for the need, or nil if none is left, and the one
+// that most likely has read what the request shares with others, nil if it
+// shares nothing. Upstreams that rest or were tried are taken only if there is
+// no other.
+func (c *Chooser) Choose(now time.Time, upstreams []*Upstream, need Need) (chosen, reader *Upstream) {
+	for w := preferred; w <= usable; w++ {
 		c.candidates = c.candidates[:0]
 		for _, u := range upstreams {
-			if allowed(u) {
+			if u.meets(w, now, need.Tried) {
 				c.candidates = append(c.candidates, u)
 			}
 		}
@@ -176,47 +175,78 @@
 			continue
 		}
 		if need.Key != 0 {
-			return byKey(c.candidates, need)
+			return byKey(c.candidates, need.Key)
 		}
-		return byWork(c.candidates, need, c.Random)
+		return byWork(c.candidates, need.Home, c.Random), nil
+	}
+	return nil, nil
+}
+
+// wish is what is wanted of an upstream, less and less of it.
+type wish int
+
+// The wishes.
+const (
+	// preferred upstreams neither rest nor were tried.
+	preferred wish = iota
+	// untried upstreams may rest.
+	untried
+	// leaving upstreams still serve.
+	leaving
+	// usable upstreams may have been tried.
+	usable
+)
+
+// meets reports whether the upstream meets the wish of a request that has been
+// to some.
+func (u *Upstream) meets(w wish, now time.Time, tried []tables.UpstreamID) bool {
+	switch w {
+	case preferred:
+		return u.Usable() && u.Rested(now) && !slices.Contains(tried, u.ID)
+	case untried:
+		return u.Usable() && !slices.Contains(tried, u.ID)
+	case leaving:
+		return u.Leaving(now) && !slices.Contains(tried, u.ID)
 	}
-	return nil
+	return u.Usable()
 }
 
 // byKey returns the candidate with the highest hash among those that do not
-// have too much work.
-func byKey(candidates []*Upstream, need Need) *Upstream {
+// have too much work, and the one with the highest hash of all: what the chosen
+// one lacks, it can fetch there faster than read.
+func byKey(candidates []*Upstream, key uint64) (chosen, reader *Upstream) {
 	total := 0.0
 	for _, u := range candidates {
 		total += u.Work()
 	}
 	limit := overload*total/float64(len(candidates)) + spare
-	var best, least *Upstream
-	var bestHash uint64
+	var least *Upstream
+	var chosenHash, readerHash uint64
 	for _, u := range candidates {
 		if least == nil || u.Work() < least.Work() {
 			least = u
 		}
-		if u.Work() > limit {
-			continue
+		hash := u.Score(key)
+		if reader == nil || hash > readerHash {
+			reader, readerHash = u, hash
 		}
-		if hash := u.Score(need.Key); best == nil || hash > bestHash {
-			best, bestHash = u, hash
+		if u.Work() <= limit && (chosen == nil || hash > chosenHash) {
+			chosen, chosenHash = u, hash
 		}
 	}
-	if best == nil {
-		return least
+	if chosen == nil {
+		chosen = least
 	}
-	return best
+	return chosen, reader
 }
 
 // byWork returns the candidate with the least work for each of its slots.
-func byWork(candidates []*Upstream, need Need, random *rand.Rand) *Upstream {
+func byWork(candidates []*Upstream, home tables.DataCenterID, random *rand.Rand) *Upstream {
 	var best *Upstream
 	var bestLoad float64
 	for _, u := range candidates {
 		load := u.Work() / float64(max(1, u.Slots))
-		if u.DataCenter != need.Home {
+		if u.DataCenter != home {
 			load += farPenalty
 		}
 		// A little noise keeps the instances from choosing alike.
@@ -228,21 +258,13 @@
 	return best
 }
 
-// Score is the rendezvous hash of a key and an upstream.
+// Score is the rendezvous hash of a key and an upstream. Both are hashes, so one
+// multiplication mixes them well enough; six hundred scores are a choice.
 func (u *Upstream) Score(key uint64) uint64 {
-	var pair [16]byte
-	binary.LittleEndian.PutUint64(pair[:8], key)
-	binary.LittleEndian.PutUint64(pair[8:], u.hash)
-	return xxhash.Sum64(pair[:])
-}
-
-func (n Need) tried(u *Upstream) bool {
-	for _, id := range n.Tried {
-		if id == u.ID {
-			return true
-		}
-	}
-	return false
+	const odd = 0x9e3779b97f4a7c15
+	high, low := bits.Mul64(key^u.hash, odd)
+	high, low = bits.Mul64(high^low, u.hash|1)
+	return high ^ low
 }
 
 // Fade lets old counts lose weight.
--- a/internal/core/placing/placing_test.go
+++ b/internal/core/placing/placing_test.go
@@ -31,7 +31,8 @@
 }
 
 func choose(upstreams []*Upstream, need Need) *Upstream {
-	return chooser().Choose(now, upstreams, need)
+	chosen, _ := chooser().Choose(now, upstreams, need)
+	return chosen
 }
 
 func TestChoose(t *testing.T) {
@@ -52,6 +53,22 @@
 		first.Start(20)
 		is.New(t).True(choose(upstreams, Need{Key: 7}) != first)
 	})
+	t.Run("a key that has left its upstream is read there", func(t *testing.T) {
+		is := is.New(t)
+		upstreams := fleet(9)
+		first := choose(upstreams, Need{Key: 7})
+		first.Start(20)
+		chosen, reader := chooser().Choose(now, upstreams, Need{Key: 7})
+		is.True(chosen != first)
+		is.Equal(reader, first)
+	})
+	t.Run("but not while it rests", func(t *testing.T) {
+		upstreams := fleet(9)
+		first := choose(upstreams, Need{Key: 7})
+		first.Failed(now, true)
+		chosen, reader := chooser().Choose(now, upstreams, Need{Key: 7})
+		is.New(t).Equal(reader, chosen)
+	})
 	t.Run("work of other instances counts", func(t *testing.T) {
 		upstreams := fleet(9)
 		first := choose(upstreams, Need{Key: 7})
@@ -90,7 +107,8 @@
 		gone.Ready = false
 		upstreams[0].Set(now, gone)
 		is.True(choose(upstreams, Need{}) != nil)
-		is.True(chooser().Choose(now.Add(leaveUse), upstreams, Need{}) == nil)
+		chosen, _ := chooser().Choose(now.Add(leaveUse), upstreams, Need{})
+		is.True(chosen == nil)
 	})
 	t.Run("an upstream that fails a part of its calls over the fleet rests", func(t *testing.T) {
 		upstreams := fleet(2)
--- a/internal/edge/ingress/calls.go
+++ b/internal/edge/ingress/calls.go
@@ -67,6 +67,7 @@
 		Model:     call.Model,
 		LastEvent: x.lastEvent,
 		Urgency:   call.Urgency,
+		Fetch:     call.Fetch,
 	}
 	if x.team != nil {
 		set.Team = x.team.Name
