--- a/internal/cli/commands/replaycmd.go
+++ b/internal/cli/commands/replaycmd.go
@@ -3,19 +3,21 @@
 import (
 	"bytes"
 	"os"
+	"strings"
 	"time"
 
 	"github.com/gravitational/trace"
 
+	"mimosayard/internal/proof/loads"
 	"mimosayard/internal/proof/replay"
 )
 
 func newReplayCmd() *command {
 	return &command{
 		name:    "replay",
-		summary: "Replay a recorded trace through the decisions and check outcomes.",
-		usage:   "-trace FILE [-expect FILE] [-policy NAME] [-json]",
-		example: "mimosayard replay -trace testdata/traces/sauna.jsonl -expect testdata/traces/sauna.expect.json",
+		summary: "Replay a trace or a load through the decisions and check outcomes.",
+		usage:   "-trace FILE [-expect FILE] | -load FILE [-seed N]  [-policy NAME] [-json]",
+		example: "mimosayard replay -load testdata/loads/burst.json -policy no_order -seed 3",
 		run:     runReplayCmd,
 	}
 }
@@ -29,13 +31,20 @@
 func runReplayCmd(c *invocation) error {
 	traceFile := c.flags.String("trace", "", "replay the trace in `FILE`")
 	expectFile := c.flags.String("expect", "", "check the outcomes in `FILE`")
-	policy := c.flags.String("policy", replay.PolicyFull, "use the decisions of policy `NAME`: full, round_robin, always_best, fixed_threshold, least_reported or no_detection")
+	loadFile := c.flags.String("load", "", "play the load in `FILE` against emulated engines")
+	seed := c.flags.Uint64("seed", 1, "play the load with seed `N`")
+	policy := c.flags.String("policy", replay.PolicyFull, "use the decisions of policy `NAME`: full, round_robin, always_best, fixed_threshold, least_reported or no_detection; for a load "+strings.Join(loads.Policies(), ", "))
 	asJSON := c.flags.Bool("json", false, "print JSON")
 	if err := c.parse(); err != nil {
 		return err
 	}
-	if *traceFile == "" {
-		return usageError("-trace is required")
+	switch {
+	case *loadFile != "" && (*traceFile != "" || *expectFile != ""):
+		return usageError("-load goes without -trace and -expect")
+	case *loadFile != "":
+		return c.playLoad(*loadFile, *policy, *seed, *asJSON)
+	case *traceFile == "":
+		return usageError("-trace or -load is required")
 	}
 	data, err := os.ReadFile(*traceFile)
 	if err != nil {
@@ -69,6 +78,66 @@
 	return err
 }
 
+// loadOutput is what comes of a load.
+type loadOutput struct {
+	Results  loads.Results   `json:"results"`
+	Verdicts []loads.Verdict `json:"verdicts,omitempty"`
+	Seconds  float64         `json:"seconds"`
+}
+
+// playLoad plays a load and checks what its file expects of all decisions
+// together.
+func (i *invocation) playLoad(file, policy string, seed uint64, asJSON bool) error {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return &exitError{code: ExitUsage, err: err}
+	}
+	load, err := loads.Read(bytes.NewReader(data))
+	if err != nil {
+		return &exitError{code: ExitUsage, err: trace.Wrap(err, "%s", file)}
+	}
+	start := time.Now()
+	output := loadOutput{}
+	if output.Results, err = loads.Play(load, policy, seed); err != nil {
+		return &exitError{code: ExitUsage, err: err}
+	}
+	output.Seconds = time.Since(start).Seconds()
+	if policy == loads.Full {
+		if output.Verdicts, err = loads.Check(load, output.Results); err != nil {
+			return &exitError{code: ExitUsage, err: trace.Wrap(err, "%s", file)}
+		}
+	}
+	if asJSON {
+		err = i.printJSON(output)
+	} else {
+		i.printLoad(output)
+	}
+	for _, verdict := range output.Verdicts {
+		if !verdict.Holds {
+			return &exitError{code: ExitFailed, err: trace.CompareFailed("an outcome does not hold: %s", verdict)}
+		}
+	}
+	return err
+}
+
+func (i *invocation) printLoad(output loadOutput) {
+	r := output.Results
+	i.printf("load         %s under %s, seed %d, %d requests in %.2f s\n", r.Load, r.Policy, r.Seed, r.Asked, output.Seconds)
+	i.printf("worth        %.4f (earned %.4f, models %.4f)\n", r.Worth, r.Earned, r.Cost)
+	i.printf("refusals     %d, the latest after %.0f ms\n", r.Refusals, r.RefusalMS)
+	i.printf("first event  p50 %.0f ms, p95 %.0f ms, p99 %.0f ms\n", r.FirstMS.P50, r.FirstMS.P95, r.FirstMS.P99)
+	i.printf("gaps         p50 %.0f ms, p95 %.0f ms, p99 %.0f ms\n", r.GapMS.P50, r.GapMS.P95, r.GapMS.P99)
+	i.printf("%-20s %6s %8s %8s %8s\n", "of", "asked", "in time", "late", "lost")
+	for _, group := range [][]loads.Share{{r.Share}, r.Classes, r.Sizes, r.Teams, r.DataCenters} {
+		for _, s := range group {
+			i.printf("%-20s %6d %8.4f %8.4f %8.4f\n", s.Name, s.Asked, s.InTime, s.Late, s.Lost)
+		}
+	}
+	for _, verdict := range output.Verdicts {
+		i.printf("%s\n", verdict)
+	}
+}
+
 func loadExpectation(file string) (replay.Expectation, error) {
 	data, err := os.ReadFile(file)
 	if err != nil {
--- a/internal/core/dispatch/models.go
+++ b/internal/core/dispatch/models.go
@@ -24,6 +24,8 @@
 	shortReading = 300
 	firstUrgency = 1
 	lastUrgency  = 5
+	// urgencyStep is how many times the reading a step of urgency stands for.
+	urgencyStep = 4
 	// answerPart is the part of a request's work that its answer makes, and
 	// middlingPrompt the prompt, in tokens, that makes as much as a request
 	// without a prompt.
@@ -111,14 +113,14 @@
 // urgencyOf returns the order of a call among those that wait at its upstream:
 // the less a prompt has to be read, the earlier. A short prompt behind a long
 // one waits many times its own length, while the long one hardly notices the
-// short one. A step stands for twice the reading, so no prompt waits for more
-// than its upstream reads of shorter ones.
+// short one. Prompts within a step keep the order of their arrival, so long ones
+// wait for shorter ones only where those are much shorter.
 func (d *Dispatcher) urgencyOf(task *Task) *int {
 	if len(task.Request.Route.Models) == 0 || task.Request.Prompt <= 0 {
 		return nil
 	}
 	reading := float64(task.Request.Prompt) * d.workOf(task)
-	urgency := int(math.Log2(max(1, reading/shortReading))) + firstUrgency
+	urgency := int(math.Log(max(1, reading/shortReading))/math.Log(urgencyStep)) + firstUrgency
 	urgency = min(lastUrgency, urgency)
 	return &urgency
 }
--- /dev/null
+++ b/internal/proof/loads/loads_test.go
@@ -0,0 +1,123 @@
+package loads
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+const directory = "../../../testdata/loads"
+
+// seeds are those that each load is played with.
+var seeds = []uint64{1, 2, 3, 4, 5}
+
+func readLoad(t *testing.T, file string) Load {
+	t.Helper()
+	reader, err := os.Open(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer reader.Close()
+	load, err := Read(reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return load
+}
+
+func play(t *testing.T, load Load, policy string, seed uint64) Results {
+	t.Helper()
+	results, err := Play(load, policy, seed)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return results
+}
+
+// meanWorth returns the mean worth over some loads and seeds.
+func meanWorth(t *testing.T, loads []Load, policy string) float64 {
+	t.Helper()
+	total := 0.0
+	played := seeds[:3]
+	for _, load := range loads {
+		for _, seed := range played {
+			total += play(t, load, policy, seed).Worth
+		}
+	}
+	return total / float64(len(loads)*len(played))
+}
+
+// TestLoads plays each load with each seed and holds what callers got against
+// what the load expects.
+func TestLoads(t *testing.T) {
+	files, err := filepath.Glob(filepath.Join(directory, "*.json"))
+	if err != nil || len(files) == 0 {
+		t.Fatalf("no loads: %v", err)
+	}
+	for _, file := range files {
+		t.Run(strings.TrimSuffix(filepath.Base(file), ".json"), func(t *testing.T) {
+			t.Parallel()
+			load := readLoad(t, file)
+			for _, seed := range seeds {
+				verdicts, err := Check(load, play(t, load, Full, seed))
+				if err != nil {
+					t.Fatal(err)
+				}
+				for _, v := range verdicts {
+					if !v.Holds {
+						t.Errorf("seed %d: %s", seed, v)
+					}
+				}
+			}
+		})
+	}
+}
+
+// TestBaselines holds the decisions against each way to do with less of them,
+// on days on which upstreams are short.
+func TestBaselines(t *testing.T) {
+	t.Parallel()
+	var loads []Load
+	for _, name := range []string{"grey_slow", "hot_team", "lost_quarter"} {
+		loads = append(loads, readLoad(t, filepath.Join(directory, name+".json")))
+	}
+	full := meanWorth(t, loads, Full)
+	for _, name := range Policies() {
+		if name == Full {
+			continue
+		}
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			if worth := meanWorth(t, loads, name); worth >= full {
+				t.Errorf("worth is %.3f, all decisions together make %.3f", worth, full)
+			}
+		})
+	}
+}
+
+func TestSameSeed(t *testing.T) {
+	load := readLoad(t, filepath.Join(directory, "burst.json"))
+	is.New(t).Equal(play(t, load, Full, 7), play(t, load, Full, 7))
+}
+
+func TestRead(t *testing.T) {
+	for _, c := range []struct{ name, load, problem string }{
+		{"unknown field", `{"speed": 1}`, "unknown field"},
+		{"no time", `{}`, "seconds is 0"},
+		{"no engines", `{"seconds": 1, "instances": 1, "data_centers": ["a"]}`, "engines"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			_, err := Read(strings.NewReader(c.load))
+			is.True(err != nil)
+			is.True(strings.Contains(err.Error(), c.problem))
+		})
+	}
+	t.Run("unknown policy", func(t *testing.T) {
+		_, err := Play(Load{}, "none", 1)
+		is.New(t).True(err != nil)
+	})
+}
--- a/internal/proof/replay/measures.go
+++ b/internal/proof/replay/measures.go
@@ -168,7 +168,7 @@
 	m.served++
 	m.cost += r.task.Cost
 	_ = m.first.RecordValue(r.first.Microseconds())
-	_ = m.total.RecordValue((w.now - r.arrived).Microseconds())
+	_ = m.total.RecordValue((w.now() - r.arrived).Microseconds())
 	if r.stages > 1 {
 		m.escalated++
 	}
@@ -249,7 +249,7 @@
 		results.Steps += step
 	}
 	results.Escalated = ratio(float64(m.escalated), float64(m.served))
-	results.Exposed = ratio(float64(len(m.exposed)), m.hourCallers(w.now))
+	results.Exposed = ratio(float64(len(m.exposed)), m.hourCallers(w.now()))
 	results.Quality, results.QualityMargin = m.quality()
 	results.WorstShare, results.Jain = m.fairness()
 	return results
--- a/internal/proof/replay/run.go
+++ b/internal/proof/replay/run.go
@@ -63,7 +63,7 @@
 	w := r.world
 	if r.router.Accept(w.clock(), r.task, r.step, r.answer().Confidence) {
 		r.decided = true
-		r.first = w.now - r.arrived
+		r.first = w.now() - r.arrived
 		return
 	}
 	w.give(j.engine, j.engine.leave(j))
@@ -99,7 +99,7 @@
 func (r *run) refuse(kind faults.Kind) {
 	r.router.End(r.world.clock(), r.task)
 	r.world.open--
-	r.world.measures.refuse(r.world.now, r.arrival, kind)
+	r.world.measures.refuse(r.world.now(), r.arrival, kind)
 }
 
 // sortedJobs returns the calls of an engine in a fixed order.
--- a/internal/proof/replay/world.go
+++ b/internal/proof/replay/world.go
@@ -7,7 +7,6 @@
 package replay
 
 import (
-	"container/heap"
 	"errors"
 	"fmt"
 	"io"
@@ -20,19 +19,10 @@
 	"mimosayard/internal/core/routing"
 	"mimosayard/internal/core/sums"
 	"mimosayard/internal/core/tables"
+	"mimosayard/internal/proof/agenda"
 	"mimosayard/internal/proof/traces"
 )
 
-// agenda is the queue of what happens next, in order of time.
-type agenda []entry
-
-type entry struct {
-	at time.Duration
-	// order keeps entries of one time in the order they were added.
-	order uint64
-	act   func()
-}
-
 // run is a request on its way.
 type run struct {
 	world   *world
@@ -53,9 +43,7 @@
 type world struct {
 	header   traces.Header
 	policy   string
-	now      time.Duration
-	agenda   agenda
-	order    uint64
+	agenda   agenda.Agenda
 	routers  []*router.Router
 	engines  map[tables.UpstreamID]*engine
 	pools    map[tables.UpstreamID]tables.PoolID
@@ -108,7 +96,7 @@
 		if err != nil {
 			return Results{}, err
 		}
-		w.advance(event.At.Duration())
+		w.agenda.Advance(event.At.Duration())
 		if err := w.take(event); err != nil {
 			return Results{}, fmt.Errorf("%s: %w", file, err)
 		}
@@ -145,34 +133,28 @@
 	return w, nil
 }
 
-// advance lets everything happen that is due before a time.
-func (w *world) advance(until time.Duration) {
-	for len(w.agenda) > 0 && w.agenda[0].at <= until {
-		next, ok := heap.Pop(&w.agenda).(entry)
+// finish lets the requests on their way end.
+func (w *world) finish() {
+	w.arriving = false
+	for w.open > 0 {
+		next, ok := w.agenda.Next()
 		if !ok {
 			return
 		}
-		w.now = next.at
-		next.act()
+		w.agenda.Advance(next)
 	}
-	w.now = max(w.now, until)
 }
 
-// finish lets the requests on their way end.
-func (w *world) finish() {
-	w.arriving = false
-	for w.open > 0 && len(w.agenda) > 0 {
-		w.advance(w.agenda[0].at)
-	}
+func (w *world) clock() time.Time {
+	return epoch.Add(w.now())
 }
 
-func (w *world) clock() time.Time {
-	return epoch.Add(w.now)
+func (w *world) now() time.Duration {
+	return w.agenda.Now()
 }
 
 func (w *world) schedule(after time.Duration, act func()) {
-	w.order++
-	heap.Push(&w.agenda, entry{w.now + after, w.order, act})
+	w.agenda.Schedule(after, act)
 }
 
 func (w *world) take(event traces.Event) error {
@@ -188,7 +170,7 @@
 		return w.change(*event.Upstream)
 	case traces.TypeTruth:
 		w.bad[event.Truth.Pool] = event.Truth.Bad
-		w.measures.truth(w.now, *event.Truth)
+		w.measures.truth(w.now(), *event.Truth)
 	}
 	return nil
 }
@@ -253,7 +235,7 @@
 		w.told[n] = r.Contribution(w.clock())
 	}
 	for _, progress := range news {
-		w.measures.progress(w.now, progress)
+		w.measures.progress(w.now(), progress)
 		w.schedule(w.header.FleetLag.Duration(), func() {
 			for _, r := range w.routers {
 				r.MergeProgress(progress)
@@ -295,9 +277,9 @@
 		router:  w.routers[arrival.Instance],
 		arrival: arrival,
 		id:      fmt.Sprintf("request-%d", w.requests),
-		arrived: w.now,
+		arrived: w.now(),
 	}
-	w.measures.arrive(w.now, arrival)
+	w.measures.arrive(w.now(), arrival)
 	request := router.Request{
 		Route:     tables.RouteKey{Team: arrival.Team, Service: arrival.Service, Class: arrival.Class},
 		Caller:    arrival.Caller,
@@ -315,7 +297,7 @@
 		delete(w.sessions, arrival.Session)
 	}
 	if fault != nil {
-		w.measures.refuse(w.now, arrival, fault.Kind)
+		w.measures.refuse(w.now(), arrival, fault.Kind)
 		return
 	}
 	if arrival.Session != "" && request.Pinned == nil {
@@ -344,43 +326,13 @@
 	if j == nil {
 		return
 	}
-	e.start(w.now, j)
+	e.start(w.now(), j)
 	probe := min(j.tokens, router.ProbeTokens)
 	if j.run.step.Last {
 		// The answer is taken whatever it is, so nothing is held back.
 		probe = 1
 	}
-	w.schedule(j.at(1)-w.now, func() { j.run.firstToken(j) })
-	w.schedule(j.at(probe)-w.now, func() { j.run.judge(j) })
-	w.schedule(j.at(j.tokens)-w.now, func() { j.run.end(j) })
-}
-
-// Len, Less, Swap, Push and Pop implement heap.Interface.
-func (a agenda) Len() int { return len(a) }
-
-// Less orders by time, then by the order of adding.
-func (a agenda) Less(i, j int) bool {
-	if a[i].at != a[j].at {
-		return a[i].at < a[j].at
-	}
-	return a[i].order < a[j].order
-}
-
-// Swap swaps two entries.
-func (a agenda) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
-
-// Push adds an entry at the end.
-func (a *agenda) Push(x any) {
-	if e, ok := x.(entry); ok {
-		*a = append(*a, e)
-	}
-}
-
-// Pop removes the last entry.
-func (a *agenda) Pop() any {
-	old := *a
-	last := old[len(old)-1]
-	old[len(old)-1] = entry{}
-	*a = old[:len(old)-1]
-	return last
+	w.schedule(j.at(1)-w.now(), func() { j.run.firstToken(j) })
+	w.schedule(j.at(probe)-w.now(), func() { j.run.judge(j) })
+	w.schedule(j.at(j.tokens)-w.now(), func() { j.run.end(j) })
 }
