Show both front doors in one run of demo

Cause: the second front door was behind a flag of its own, and a newcomer who ran demo saw the first one only. Ruled out: both at once, since their addresses and output would mix.

--- a/internal/cli/commands/democmd.go
+++ b/internal/cli/commands/democmd.go
@@ -14,23 +14,40 @@
 	return &command{
 		name:    "demo",
 		summary: "Run stand-ins and two instances on loopback and send them requests.",
-		usage:   "[-shared] [-keep]",
+		usage:   "[-door both|own|shared] [-keep]",
 		example: "mimosayard demo",
 		run:     runDemoCmd,
 	}
 }
 
+// The front doors that the demo shows.
+const (
+	doorBoth   = "both"
+	doorOwn    = "own"
+	doorShared = "shared"
+)
+
 func runDemoCmd(c *invocation) error {
-	keep := c.flags.Bool("keep", false, "leave everything running and print a curl line")
-	onShared := c.flags.Bool("shared", false, "show the front door of the shared platform")
+	keep := c.flags.Bool("keep", false, "leave everything running and print a curl line; with one door")
+	door := c.flags.String("door", doorBoth, "show the front `DOOR`: the product's own API, that of the shared platform, or both in turn")
 	if err := c.parse(); err != nil {
 		return err
 	}
 	ctx, stop := signalContext()
 	defer stop()
 	options := demo.Options{Output: c.stdout, Keep: *keep, Evening: demoEvening}
-	if *onShared {
+	switch {
+	case *door == doorOwn:
+		return trace.Wrap(demo.Run(ctx, options))
+	case *door == doorShared:
 		return trace.Wrap(demo.RunShared(ctx, options))
+	case *door != doorBoth:
+		return usageError("-door is %s; want both, own or shared", *door)
+	case *keep:
+		return usageError("-keep needs one door: -door own or -door shared")
+	}
+	if err := demo.Run(ctx, options); err != nil {
+		return trace.Wrap(err)
 	}
-	return trace.Wrap(demo.Run(ctx, options))
+	return trace.Wrap(demo.RunShared(ctx, options))
 }
