Leave room for a burst at a rollout's end, and keep its time over restarts

Good versions were late where machines died: one that had started since took the rollout for new, and others waited anew for each stage before they stepped in. After a loss of all machines, slow answers were told late. Ruled out: a late verdict (that version shows nothing without load), the store.

--- a/internal/core/dispatch/means.go
+++ b/internal/core/dispatch/means.go
@@ -84,12 +84,12 @@
 
 // slow reports whether an answer took several times longer than usual. Where
 // nothing is known of what is usual, as after a start late in a rollout, a whole
-// answer is slow beyond the time that its route wants.
+// answer is slow beyond half of the time that its route wants.
 func (s *service) slow(task *Task, call *Call) bool {
 	p := s.paces[paceKey{task.Request.Route.Class(), call.Model}]
 	if p == nil || p.wait.samples < paceSamples {
 		route := task.Request.Route
-		return route.Kind != catalog.Streaming && route.Target > 0 && call.waited > route.Target
+		return route.Kind != catalog.Streaming && route.Target > 0 && call.waited > route.Target/2
 	}
 	return p.wait.exceeded(call.waited) || (call.events > 0 && p.pause.exceeded(call.MeanPause()))
 }
--- a/internal/core/releases/releases.go
+++ b/internal/core/releases/releases.go
@@ -45,6 +45,9 @@
 	active  bool
 	// seen is when the instance first saw the rollout to this target.
 	seen time.Time
+	// stageSeen is when the instance first saw the rollout in its stage, which
+	// may have begun long before.
+	stageSeen time.Time
 	// ableSince is since when the target has enough upstreams.
 	ableSince time.Time
 	// bad says that the evidence speaks against the target. It stays, whatever
@@ -59,17 +62,18 @@
 // that no small share shows, such as under load only. So the time at which a
 // stage begins counts back from the end of the rollout: all shares together,
 // over the whole time, stay within the allowed exposure, and the largest ones
-// come last. The first stage finds what is bad at once.
+// come last. The first stage finds what is bad at once. The late shares leave
+// room for a burst, which would give them more of all requests.
 //
 // Upstreams of the new version have nothing in their caches, so the shares rise
 // in small steps.
 var stages = []stage{
 	{part: 0.47},
 	{part: 0.27, before: 4.7},
-	{share: 0.08, before: 1.9},
-	{share: 0.16, before: 1.45},
-	{share: 0.3, before: 1.05},
-	{share: 0.55, before: 0.7},
+	{share: 0.08, before: 1.5},
+	{share: 0.16, before: 1.15},
+	{share: 0.3, before: 0.8},
+	{share: 0.55, before: 0.5},
 	{share: 1},
 }
 
@@ -92,9 +96,9 @@
 	// leastCapacity is the part of the old version's upstreams that the target
 	// must have, some of which may just be down.
 	leastCapacity = 0.6
-	// leastRuns is the number of requests after which a version that fails a
-	// third of them would have shown it.
-	leastRuns = 10
+	// leastRuns is the number of requests after which a version that fails half
+	// of them has shown it but for one time in a thousand.
+	leastRuns = 20
 )
 
 // lastEarly is the last stage of the first half of a rollout, and has no
@@ -104,11 +108,11 @@
 const (
 	// allBefore is how long before the rollout's end the last stage begins, in
 	// which short calls on the old version end. Streams go on elsewhere.
-	allBefore = 1100 * time.Millisecond
+	allBefore = 1000 * time.Millisecond
 	// endBefore is how long before the rollout's end the old version is given
 	// up. It leaves time for the write, and for an instance that has to step in
 	// for another one.
-	endBefore = 750 * time.Millisecond
+	endBefore = 650 * time.Millisecond
 	// longestAge bounds how much earlier than it was seen a rollout may have
 	// been wanted: the store's watches may be dark for a second and are renewed
 	// within two.
@@ -153,7 +157,7 @@
 	// operator another rollout.
 	verdictChance = 0.001
 	// doubtChance is that of a wait, which only costs time.
-	doubtChance = 0.02
+	doubtChance = 0.03
 )
 
 // The reasons.
@@ -177,6 +181,9 @@
 		// The same target is wanted again.
 		*r = Release{active: true, seen: now}
 	}
+	if r.stageSeen.IsZero() || r.rollout.Progress.Stage != rollout.Progress.Stage {
+		r.stageSeen = now
+	}
 	r.rollout = *rollout
 }
 
@@ -258,7 +265,7 @@
 	if progress.State == catalog.Pending {
 		return catalog.Progress{State: catalog.InProgress}, true
 	}
-	left := r.rollout.Duration - now.Sub(r.seen)
+	left := r.left(now, bound)
 	last := len(stages) - 1
 	able := r.able(now, target)
 	if r.stage() == last {
@@ -271,6 +278,16 @@
 	return catalog.Progress{State: catalog.InProgress, Stage: due}, due > r.stage()
 }
 
+// left returns the time until the rollout's end, as far as the instance can
+// tell: one that has started since knows it from the stage alone.
+func (r *Release) left(now time.Time, bound Bound) time.Duration {
+	left := r.rollout.Duration - now.Sub(r.seen)
+	if r.stage() == 0 {
+		return left
+	}
+	return min(left, r.begins(r.stage(), bound)-now.Sub(r.stageSeen))
+}
+
 // able reports whether the target may get more than the first shares.
 func (r *Release) able(now time.Time, target Readiness) bool {
 	if target.Capacity < leastCapacity || target.InDoubt {
--- a/internal/instance/entry/duties.go
+++ b/internal/instance/entry/duties.go
@@ -10,7 +10,9 @@
 	"go.uber.org/zap"
 
 	"mimosayard/internal/core/dispatch"
+	"mimosayard/internal/core/releases"
 	"mimosayard/internal/core/sums"
+	"mimosayard/internal/core/tables"
 	"mimosayard/internal/fleet/peers"
 	"mimosayard/internal/instance/beliefs"
 	"mimosayard/internal/instance/pauses"
@@ -22,9 +24,6 @@
 const (
 	// rolloutLook is the time between two looks at what rollouts need.
 	rolloutLook = 250 * time.Millisecond
-	// otherWriter is how long another instance than the one in charge waits
-	// before it writes a status that is due, in looks.
-	otherWriter = 2
 	// upstreamGather and upstreamPatience save calls for the upstreams' entries,
 	// which change most often. One that leaves serves for two seconds on.
 	upstreamGather   = 600 * time.Millisecond
@@ -149,25 +148,30 @@
 // runRollouts writes the progress of rollouts to the store. One instance is in
 // charge of each; the others step in if it does not write.
 func (i *Instance) runRollouts(ctx context.Context) error {
-	waited := map[string]int{}
+	charges := map[tables.ServiceID]*releases.Charge{}
 	for pauses.Sleep(ctx, rolloutLook) {
-		steps := i.dispatcher.Steps(time.Now())
-		due := map[string]int{}
-		for _, step := range steps {
-			name := string(step.Rollout.Service)
-			due[name] = waited[name] + 1
-			if !i.node.Owns("rollout/"+name) && due[name] <= otherWriter {
-				continue
+		due := map[tables.ServiceID]bool{}
+		for _, step := range i.dispatcher.Steps(time.Now()) {
+			service := step.Rollout.Service
+			due[service] = true
+			if charges[service] == nil {
+				charges[service] = &releases.Charge{}
+			}
+			if charges[service].Due(i.node.Owns("rollout/" + string(service))) {
+				charges[service].Wrote(i.writeStatus(ctx, step))
+			}
+		}
+		for service, charge := range charges {
+			if !due[service] {
+				charge.Idle()
 			}
-			due[name] = 0
-			i.writeStatus(ctx, step)
 		}
-		waited = due
 	}
 	return nil
 }
 
-func (i *Instance) writeStatus(ctx context.Context, step dispatch.Step) {
+// writeStatus writes a step to the store and reports whether that was done.
+func (i *Instance) writeStatus(ctx context.Context, step dispatch.Step) bool {
 	fields := []zap.Field{
 		zap.String("service", string(step.Rollout.Service)),
 		zap.String("target", string(step.Rollout.Target)),
@@ -181,9 +185,10 @@
 		platform.Revision(step.Rollout.Revision), platform.RolloutStatus(step.Rollout.Target, step.Progress))
 	if err != nil {
 		events.StatusNotWritten.Log(i.log, append(fields, zap.Error(err))...)
-		return
+		return false
 	}
 	events.StatusWritten.Log(i.log, fields...)
+	return true
 }
 
 // runClock looks for pauses of the process, which the steady clock does not
