--- a/internal/instance/beliefs/beliefs.go
+++ b/internal/instance/beliefs/beliefs.go
@@ -153,8 +153,13 @@
 		k.takeList(objects, revision, k.ageOf(started))
 		return nil
 	}
-	changes, revision, err := k.Store.Watch(ctx, k.Kind, k.watching, k.watchWait(started))
+	wait := k.watchWait(started)
+	changes, revision, err := k.Store.Watch(ctx, k.Kind, k.watching, wait)
 	if err != nil {
+		if time.Since(started) >= wait {
+			// The watch was silent, and may have missed changes.
+			k.watching = 0
+		}
 		return trace.Wrap(err)
 	}
 	k.watching = max(k.watching, revision)
--- a/internal/instance/beliefs/beliefs_test.go
+++ b/internal/instance/beliefs/beliefs_test.go
@@ -104,6 +104,28 @@
 		}, 3)
 		is.New(t).Equal(names(objects), "b")
 	})
+	t.Run("lists again when a watch stays silent beyond its time", func(t *testing.T) {
+		is := is.New(t)
+		store := &fakeStore{
+			list:   `{"items":[` + item("a", "3") + `],"as_of":9}`,
+			listed: make(chan struct{}, 4),
+		}
+		server := httptest.NewServer(store)
+		t.Cleanup(server.CloseClientConnections)
+		told := make(chan []platform.Object, 4)
+		k := newKeeper(&platform.Store{Base: server.URL, HTTP: server.Client()}, told)
+		var group errgroup.Group
+		ctx := t.Context()
+		group.Go(func() error { return k.Run(ctx) })
+		<-store.listed
+		is.Equal(names(<-told), "a")
+		store.mutex.Lock()
+		store.list = `{"items":[` + item("b", "10") + `],"as_of":10}`
+		store.mutex.Unlock()
+		// The watch never answers.
+		<-store.listed
+		is.Equal(names(<-told), "b")
+	})
 	t.Run("lists again when the history is gone", func(t *testing.T) {
 		is := is.New(t)
 		store := &fakeStore{
