--- a/internal/core/dispatch/fleet.go
+++ b/internal/core/dispatch/fleet.go
@@ -119,7 +119,11 @@
 func (s *service) readiness() releases.Readiness {
 	target := s.release.Target()
 	fresh, old := countUsable(s.ofVersion(target, true)), countUsable(s.ofVersion(target, false))
-	readiness := releases.Readiness{Runs: s.fresh.Runs, InDoubt: releases.Doubts(s.fresh, s.old)}
+	readiness := releases.Readiness{
+		Runs:     s.fresh.Runs,
+		Requests: s.fresh.Runs + s.old.Runs,
+		InDoubt:  releases.Doubts(s.fresh, s.old),
+	}
 	if fresh > 0 {
 		readiness.Capacity = float64(fresh) / float64(max(1, old))
 	}
--- a/internal/core/releases/releases.go
+++ b/internal/core/releases/releases.go
@@ -97,14 +97,21 @@
 	// must have, some of which may just be down.
 	leastCapacity = 0.6
 	// leastRuns is the number of requests after which a version that fails half
-	// of them has shown it but for one time in a thousand.
-	leastRuns = 20
+	// of them has shown it but for one time in a hundred.
+	leastRuns = 14
+	// quietRequests is the number of requests of a service below which its
+	// versions show nothing.
+	quietRequests = 3 * leastRuns
 )
 
 // lastEarly is the last stage of the first half of a rollout, and has no
 // larger share than the first one.
 const lastEarly = 1
 
+// lastProbing is the last stage of a version that has run few requests: it gets
+// more of them, and the old version goes on.
+const lastProbing = 4
+
 const (
 	// allBefore is how long before the rollout's end the last stage begins, in
 	// which short calls on the old version end. Streams go on elsewhere.
@@ -247,6 +254,8 @@
 	Capacity float64
 	// Runs is the number of requests that the target has run for the fleet.
 	Runs float64
+	// Requests is the number that all versions have run for the fleet since.
+	Requests float64
 	// InDoubt says that the evidence against the target may be chance.
 	InDoubt bool
 }
@@ -267,12 +276,12 @@
 	}
 	left := r.left(now, bound)
 	last := len(stages) - 1
-	able := r.able(now, target)
+	reach := r.reach(now, target)
 	if r.stage() == last {
-		return catalog.Progress{State: catalog.Completed, Stage: last}, able && left <= endBefore
+		return catalog.Progress{State: catalog.Completed, Stage: last}, reach == last && left <= endBefore
 	}
 	due := r.stage()
-	for due < last && left <= r.begins(due+1, bound) && (able || due < lastEarly) {
+	for due < reach && left <= r.begins(due+1, bound) {
 		due++
 	}
 	return catalog.Progress{State: catalog.InProgress, Stage: due}, due > r.stage()
@@ -288,17 +297,21 @@
 	return min(left, r.begins(r.stage(), bound)-now.Sub(r.stageSeen))
 }
 
-// able reports whether the target may get more than the first shares.
-func (r *Release) able(now time.Time, target Readiness) bool {
+// reach returns the last stage that the target may get to for now.
+func (r *Release) reach(now time.Time, target Readiness) int {
 	if target.Capacity < leastCapacity || target.InDoubt {
 		r.ableSince = time.Time{}
-		return false
+		return lastEarly
 	}
 	if r.ableSince.IsZero() {
 		r.ableSince = now
 	}
-	// A service with few requests shows little in any time.
-	return target.Runs >= leastRuns || now.Sub(r.ableSince) >= r.rollout.Duration/2
+	// A service with hardly any requests shows little in any time.
+	quiet := target.Requests < quietRequests && now.Sub(r.ableSince) >= r.rollout.Duration/2
+	if target.Runs >= leastRuns || quiet {
+		return len(stages) - 1
+	}
+	return lastProbing
 }
 
 // begins returns how long before the rollout's end a stage begins. In a short
