Make the work of a read prompt the call's own

Cause: read as a newcomer, the method had a receiver that it did not use. Ruled out: other uses. No behaviour changes; TestWorkAfterTheStart passes before and after.

--- a/internal/core/dispatch/task.go
+++ b/internal/core/dispatch/task.go
@@ -159,7 +159,7 @@
 	defer d.mutex.Unlock()
 	call.started = true
 	call.waited = now.Sub(call.sent)
-	d.haveRead(call)
+	call.haveRead()
 	larger := d.escalate(now, task, confidence)
 	if larger == "" {
 		return true
@@ -170,13 +170,13 @@
 }
 
 // haveRead takes off the work of a prompt that the upstream has read.
-func (d *Dispatcher) haveRead(call *Call) {
-	if call.Model == "" {
+func (c *Call) haveRead() {
+	if c.Model == "" {
 		return
 	}
-	read := call.work * (1 - startedPart)
-	call.upstream.Finish(read)
-	call.work -= read
+	read := c.work * (1 - startedPart)
+	c.upstream.Finish(read)
+	c.work -= read
 }
 
 // MeanPause returns the mean pause between the events of the answer.
