Make twins of the emulations one piece

Cause: the last read of the change found pieces written again: histograms and their quantiles (now proof/latencies, for traces and loads), the fleet's totals (sums.Sum), strict decoding (tables.StrictDecode, which also refuses what stands behind the load), the end of a replay with its verdicts, the start of a keeper and the address of an upstream in tests. An engine was found by two maps with the same keys, a request's calls were compared in five places, and a weight was one. Steps weighed the evidence of rollouts that have ended, four times a second. Ruled out: a change of behaviour. Left: the bounds of loads (Expect) and of traces (Outcome), whose files differ.

--- a/internal/cli/commands/replaycmd.go
+++ b/internal/cli/commands/replaycmd.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"os"
 	"strings"
 	"time"
@@ -70,12 +71,21 @@
 	} else {
 		c.printReplay(output)
 	}
-	for _, verdict := range output.Verdicts {
-		if !verdict.Holds {
+	if failed := firstFailed(output.Verdicts, func(v replay.Verdict) bool { return v.Holds }); failed != nil {
+		return failed
+	}
+	return err
+}
+
+// firstFailed returns the error for the first verdict that does not hold, or
+// nil.
+func firstFailed[V fmt.Stringer](verdicts []V, holds func(V) bool) error {
+	for _, verdict := range verdicts {
+		if !holds(verdict) {
 			return &exitError{code: ExitFailed, err: trace.CompareFailed("an outcome does not hold: %s", verdict)}
 		}
 	}
-	return err
+	return nil
 }
 
 // loadOutput is what comes of a load.
@@ -92,7 +102,7 @@
 	if err != nil {
 		return &exitError{code: ExitUsage, err: err}
 	}
-	load, err := loads.Read(bytes.NewReader(data))
+	load, err := loads.Read(data)
 	if err != nil {
 		return &exitError{code: ExitUsage, err: trace.Wrap(err, "%s", file)}
 	}
@@ -112,10 +122,8 @@
 	} else {
 		i.printLoad(output)
 	}
-	for _, verdict := range output.Verdicts {
-		if !verdict.Holds {
-			return &exitError{code: ExitFailed, err: trace.CompareFailed("an outcome does not hold: %s", verdict)}
-		}
+	if failed := firstFailed(output.Verdicts, func(v loads.Verdict) bool { return v.Holds }); failed != nil {
+		return failed
 	}
 	return err
 }
--- a/internal/core/dispatch/fleet.go
+++ b/internal/core/dispatch/fleet.go
@@ -104,10 +104,10 @@
 	defer d.mutex.Unlock()
 	var steps []Step
 	for _, s := range d.services {
-		rollout, known := s.release.Known()
-		if !known {
+		if !s.release.InProgress() {
 			continue
 		}
+		rollout, _ := s.release.Known()
 		if progress, due := s.release.Next(now, d.bounds.Release, s.readiness()); due {
 			steps = append(steps, Step{rollout, progress, s.fresh, s.old})
 		}
--- a/internal/core/sums/sums.go
+++ b/internal/core/sums/sums.go
@@ -182,6 +182,15 @@
 	return sum
 }
 
+// Sum returns the sum of all values.
+func Sum(all []Values) Values {
+	sum := Values{}
+	for _, values := range all {
+		sum.add(values, 1)
+	}
+	return sum
+}
+
 // Keys returns the keys in order.
 func (v Values) Keys() []Key {
 	keys := make([]Key, 0, len(v))
--- a/internal/instance/beliefs/beliefs_test.go
+++ b/internal/instance/beliefs/beliefs_test.go
@@ -55,6 +55,17 @@
 // follow runs a keeper against the store until it has told of a number of
 // changes, and returns the last.
 func follow(t *testing.T, store *fakeStore, changes int) ([]platform.Object, *Keeper) {
+	t.Helper()
+	told, k := run(t, store)
+	var last []platform.Object
+	for range changes {
+		last = <-told
+	}
+	return last, k
+}
+
+// run starts a keeper against the store and returns what it tells.
+func run(t *testing.T, store *fakeStore) (<-chan []platform.Object, *Keeper) {
 	t.Helper()
 	server := httptest.NewServer(store)
 	t.Cleanup(server.CloseClientConnections)
@@ -63,11 +74,7 @@
 	var group errgroup.Group
 	ctx := t.Context()
 	group.Go(func() error { return k.Run(ctx) })
-	var last []platform.Object
-	for range changes {
-		last = <-told
-	}
-	return last, k
+	return told, k
 }
 
 func newKeeper(store *platform.Store, told chan []platform.Object) *Keeper {
@@ -110,13 +117,7 @@
 			list:   `{"items":[` + item("a", "3") + `],"as_of":9}`,
 			listed: make(chan struct{}, 4),
 		}
-		server := httptest.NewServer(store)
-		t.Cleanup(server.CloseClientConnections)
-		told := make(chan []platform.Object, 4)
-		k := newKeeper(&platform.Store{Base: server.URL, HTTP: server.Client()}, told)
-		var group errgroup.Group
-		ctx := t.Context()
-		group.Go(func() error { return k.Run(ctx) })
+		told, _ := run(t, store)
 		<-store.listed
 		is.Equal(names(<-told), "a")
 		store.mutex.Lock()
--- /dev/null
+++ b/internal/proof/latencies/latencies.go
@@ -0,0 +1,32 @@
+// Package latencies counts times in histograms that all emulations share.
+package latencies
+
+import (
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Quantiles are times in milliseconds.
+type Quantiles struct {
+	P50, P95, P99 float64
+}
+
+const (
+	mostMicros = int64(10 * time.Minute / time.Microsecond)
+	digits     = 3
+	microsInMs = 1000
+)
+
+// New returns an empty histogram of microseconds, up to ten minutes.
+func New() *hdrhistogram.Histogram {
+	return hdrhistogram.New(1, mostMicros, digits)
+}
+
+// Of returns the quantiles of a histogram of microseconds.
+func Of(histogram *hdrhistogram.Histogram) Quantiles {
+	at := func(percent float64) float64 {
+		return float64(histogram.ValueAtQuantile(percent)) / microsInMs
+	}
+	return Quantiles{at(50), at(95), at(99)}
+}
--- a/internal/proof/loads/load.go
+++ b/internal/proof/loads/load.go
@@ -7,10 +7,8 @@
 package loads
 
 import (
-	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"time"
 
 	"mimosayard/internal/core/tables"
@@ -109,11 +107,9 @@
 }
 
 // Read reads a load. Unknown fields are mistakes.
-func Read(r io.Reader) (Load, error) {
-	decoder := json.NewDecoder(r)
-	decoder.DisallowUnknownFields()
+func Read(data []byte) (Load, error) {
 	var load Load
-	if err := decoder.Decode(&load); err != nil {
+	if err := tables.StrictDecode(data, &load); err != nil {
 		return load, fmt.Errorf("load cannot be read: %w", err)
 	}
 	return load, load.check()
--- a/internal/proof/loads/loads_test.go
+++ b/internal/proof/loads/loads_test.go
@@ -16,12 +16,11 @@
 
 func readLoad(t *testing.T, file string) Load {
 	t.Helper()
-	reader, err := os.Open(file)
+	data, err := os.ReadFile(file)
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer reader.Close()
-	load, err := Read(reader)
+	load, err := Read(data)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -111,7 +110,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
-			_, err := Read(strings.NewReader(c.load))
+			_, err := Read([]byte(c.load))
 			is.True(err != nil)
 			is.True(strings.Contains(err.Error(), c.problem))
 		})
--- a/internal/proof/loads/request.go
+++ b/internal/proof/loads/request.go
@@ -100,7 +100,7 @@
 	}
 	w.policy.call(call)
 	r.call = call
-	r.engine = w.byID[call.Upstream.ID]
+	r.engine = w.byAddress[call.Upstream.Address]
 	w.agenda.Schedule(hop, func() { r.reach(call) })
 	if call.Start > 0 {
 		w.agenda.Schedule(call.Start, func() { r.giveUpOn(call) })
@@ -111,7 +111,7 @@
 func (r *request) reach(call *dispatch.Call) {
 	w := r.world
 	switch {
-	case r.ended || r.call != call:
+	case r.past(call):
 		return
 	case r.engine.down:
 		r.over(dispatch.Unreached)
@@ -144,6 +144,11 @@
 	}
 }
 
+// past reports whether the request has ended, or gone on to another call.
+func (r *request) past(call *dispatch.Call) bool {
+	return r.ended || r.call != call
+}
+
 func (r *request) modelOf(call *dispatch.Call) Model {
 	for _, m := range r.world.load.Models {
 		if m.Name == call.Model {
@@ -156,7 +161,7 @@
 // started takes the first token and what the model thinks of its answer.
 func (r *request) started(call *dispatch.Call, j *batches.Job, model Model) {
 	w := r.world
-	if r.ended || r.call != call {
+	if r.past(call) {
 		return
 	}
 	opinion := middleOpinion + confidenceSlope*(model.Quality-r.difficulty) + confidenceNoise*w.random.NormFloat64()
@@ -172,7 +177,7 @@
 }
 
 func (r *request) event(call *dispatch.Call) {
-	if r.ended || r.call != call {
+	if r.past(call) {
 		return
 	}
 	now := r.world.agenda.Now()
@@ -185,7 +190,7 @@
 
 // done takes the end of a job, whole or lost.
 func (r *request) done(call *dispatch.Call, j *batches.Job) {
-	if r.ended || r.call != call {
+	if r.past(call) {
 		return
 	}
 	if !j.Whole() {
@@ -199,7 +204,7 @@
 }
 
 func (r *request) giveUpOn(call *dispatch.Call) {
-	if r.ended || r.call != call || r.first > 0 {
+	if r.past(call) || r.first > 0 {
 		return
 	}
 	if r.job != nil {
@@ -209,7 +214,7 @@
 }
 
 func (r *request) overIf(call *dispatch.Call, result dispatch.Result) {
-	if !r.ended && r.call == call {
+	if !r.past(call) {
 		r.over(result)
 	}
 }
--- a/internal/proof/loads/results.go
+++ b/internal/proof/loads/results.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"mimosayard/internal/proof/latencies"
 )
 
 // Results are what callers got.
@@ -69,23 +71,18 @@
 }
 
 const (
-	// The histograms reach to ten minutes with three digits.
-	mostMicros = int64(10 * time.Minute / time.Microsecond)
-	digits     = 3
 	// wrongPart is what an answer that is not right is worth.
 	wrongPart = 0.05
 	// sizeBase is the part of a request's worth that does not depend on its
 	// size, and mostSize bounds the other.
 	sizeBase = 0.3
 	mostSize = 4.0
-	// costWeight is the worth of what models cost.
-	costWeight = 1.0
 )
 
 func newCollector() *collector {
 	return &collector{
-		first: hdrhistogram.New(1, mostMicros, digits),
-		gaps:  hdrhistogram.New(1, mostMicros, digits),
+		first: latencies.New(),
+		gaps:  latencies.New(),
 	}
 }
 
@@ -128,7 +125,7 @@
 	}
 	worth := class.Worth * min(mostSize, sizeBase+(1-sizeBase)*float64(r.prompt)/mean)
 	c.worthAll += worth
-	c.worthPaid += r.cost * costWeight
+	c.worthPaid += r.cost
 	return worth
 }
 
@@ -143,8 +140,8 @@
 		Cost:        c.worthPaid / c.worthAll,
 		Refusals:    c.refusals,
 		RefusalMS:   float64(c.longest.Microseconds()) / 1000,
-		FirstMS:     times(c.first),
-		GapMS:       times(c.gaps),
+		FirstMS:     Times(latencies.Of(c.first)),
+		GapMS:       Times(latencies.Of(c.gaps)),
 		Classes:     c.by(func(o outcome) string { return o.class }),
 		Teams:       c.by(func(o outcome) string { return o.team }),
 		Sizes:       c.by(c.sizeOf()),
@@ -206,8 +203,3 @@
 	}
 	return s
 }
-
-func times(h *hdrhistogram.Histogram) Times {
-	at := func(q float64) float64 { return float64(h.ValueAtQuantile(q)) / 1000 }
-	return Times{at(50), at(95), at(99)}
-}
--- a/internal/proof/loads/world.go
+++ b/internal/proof/loads/world.go
@@ -24,7 +24,6 @@
 	agenda    agenda.Agenda
 	instances []*dispatch.Dispatcher
 	engines   []*engine
-	byID      map[tables.UpstreamID]*engine
 	byAddress map[string]*engine
 	routes    []*catalog.Route
 	// told are the contributions that the next totals are made of.
@@ -64,7 +63,6 @@
 		load:      load,
 		policy:    p,
 		random:    rand.New(rand.NewPCG(seed, 1)),
-		byID:      map[tables.UpstreamID]*engine{},
 		byAddress: map[string]*engine{},
 		told:      make([]sums.Values, load.Instances),
 		results:   newCollector(),
@@ -95,7 +93,6 @@
 		}
 		entries = append(entries, entry)
 		w.engines = append(w.engines, e)
-		w.byID[entry.ID] = e
 		w.byAddress[entry.Address] = e
 	}
 	config := w.catalog()
@@ -177,12 +174,7 @@
 
 // tell gives every instance the sums that were told an interval ago.
 func (w *world) tell() {
-	totals := sums.Values{}
-	for _, values := range w.told {
-		for key, value := range values {
-			totals[key] += value
-		}
-	}
+	totals := sums.Sum(w.told)
 	for n, d := range w.instances {
 		d.TakeTotals(totals, w.told[n])
 		w.told[n] = d.Contribution(w.clock())
@@ -247,8 +239,7 @@
 	all := 0.0
 	weights := make([]float64, len(w.load.Teams))
 	for i, team := range w.load.Teams {
-		own := w.surge(n, team.Name).times / w.surge(n, "").times
-		weights[i] = team.Weight * own
+		weights[i] = team.Weight * w.surge(n, team.Name).times
 		all += weights[i]
 	}
 	at := w.random.Float64() * all
--- a/internal/proof/processes/shared_test.go
+++ b/internal/proof/processes/shared_test.go
@@ -128,19 +128,22 @@
 
 func (f *sharedFleet) setFaults(id, faults string) {
 	f.t.Helper()
-	n := strings.TrimPrefix(id, "i-")
-	f.put(fmt.Sprintf("http://%s.%s:7400/admin/faults", f.net, map[string]string{"1": "29", "2": "30"}[n]), faults)
+	f.put(f.upstreamURL(id)+"/admin/faults", faults)
+}
+
+// upstreamURL returns the address of an upstream by its ID.
+func (f *sharedFleet) upstreamURL(id string) string {
+	return fmt.Sprintf("http://%s.%d:7400", f.net, map[string]int{"i-1": 29, "i-2": 30}[id])
 }
 
 // allRuns returns how often the upstreams have run each request.
 func (f *sharedFleet) allRuns() map[string]int {
 	f.t.Helper()
 	all := map[string]int{}
-	for n := range f.engines {
+	for upstream := range f.engines {
 		runs := map[string]int{}
-		address := fmt.Sprintf("%s.%d:7400", f.net, map[string]int{"i-1": 29, "i-2": 30}[n])
-		if !f.get("http://"+address+"/admin/runs", &runs) {
-			f.t.Fatalf("upstream %s does not tell its runs", n)
+		if !f.get(f.upstreamURL(upstream)+"/admin/runs", &runs) {
+			f.t.Fatalf("upstream %s does not tell its runs", upstream)
 		}
 		for id, count := range runs {
 			all[id] += count
--- a/internal/proof/replay/measures.go
+++ b/internal/proof/replay/measures.go
@@ -12,6 +12,7 @@
 	"mimosayard/internal/core/faults"
 	"mimosayard/internal/core/rollouts"
 	"mimosayard/internal/core/tables"
+	"mimosayard/internal/proof/latencies"
 	"mimosayard/internal/proof/traces"
 )
 
@@ -102,16 +103,13 @@
 	// leastScored is the number of answers from which a route's mean score is
 	// set against its target.
 	leastScored = 200
-	mostMicros  = int64(10 * time.Minute / time.Microsecond)
-	digits      = 3
-	microsInMs  = 1000
 )
 
 func newMeasures() *measures {
 	return &measures{
 		refusals:  map[faults.Kind]int{},
-		first:     hdrhistogram.New(1, mostMicros, digits),
-		total:     hdrhistogram.New(1, mostMicros, digits),
+		first:     latencies.New(),
+		total:     latencies.New(),
 		scores:    map[tables.RouteKey]*score{},
 		callers:   map[string]bool{},
 		exposed:   map[string]bool{},
@@ -233,8 +231,8 @@
 		Served:           m.served,
 		Refusals:         m.refusals,
 		Cost:             m.cost,
-		FirstToken:       latencyOf(m.first),
-		Total:            latencyOf(m.total),
+		FirstToken:       Latency(latencies.Of(m.first)),
+		Total:            Latency(latencies.Of(m.total)),
 		Withdrawn:        m.right,
 		FalseWithdrawals: m.wrong,
 		Moved:            len(m.moved),
@@ -343,13 +341,6 @@
 	return value, ok
 }
 
-func latencyOf(histogram *hdrhistogram.Histogram) Latency {
-	at := func(percent float64) float64 {
-		return float64(histogram.ValueAtQuantile(percent)) / microsInMs
-	}
-	return Latency{at(50), at(95), at(99)}
-}
-
 func ratio(a, b float64) float64 {
 	if b == 0 || math.IsNaN(b) {
 		return 0
--- a/internal/proof/replay/world.go
+++ b/internal/proof/replay/world.go
@@ -223,12 +223,7 @@
 
 // tick gives every instance the sums that were told a lag ago.
 func (w *world) tick() {
-	totals := sums.Values{}
-	for _, values := range w.told {
-		for key, value := range values {
-			totals[key] += value
-		}
-	}
+	totals := sums.Sum(w.told)
 	var news []rollouts.Progress
 	for n, r := range w.routers {
 		news = append(news, r.Tick(w.clock(), totals, w.told[n])...)
