--- a/internal/core/dispatch/dispatch.go
+++ b/internal/core/dispatch/dispatch.go
@@ -10,6 +10,7 @@
 
 	"mimosayard/internal/core/aggregates"
 	"mimosayard/internal/core/catalog"
+	"mimosayard/internal/core/forecast"
 	"mimosayard/internal/core/placement"
 	"mimosayard/internal/core/releases"
 	"mimosayard/internal/core/retries"
@@ -61,6 +62,10 @@
 	failures map[tables.UpstreamID]float64
 	// latencies holds the usual latencies of similar answers.
 	latencies map[latencyKey]*latencyStats
+	// estimators predict the start of the answers of each model.
+	estimators map[tables.ModelID]*forecast.Estimator
+	// urgencies is the mix of urgencies in the prompts of recent calls.
+	urgencies urgencyMix
 }
 
 // partition divides a service's upstreams by a version.
@@ -199,10 +204,11 @@
 	s := d.services[name]
 	if s == nil {
 		s = &service{
-			name:      name,
-			evidence:  map[evidenceKey]*releases.Evidence{},
-			failures:  map[tables.UpstreamID]float64{},
-			latencies: map[latencyKey]*latencyStats{},
+			name:       name,
+			evidence:   map[evidenceKey]*releases.Evidence{},
+			failures:   map[tables.UpstreamID]float64{},
+			latencies:  map[latencyKey]*latencyStats{},
+			estimators: map[tables.ModelID]*forecast.Estimator{},
 		}
 		d.services[name] = s
 	}
--- a/internal/core/dispatch/dispatch_test.go
+++ b/internal/core/dispatch/dispatch_test.go
@@ -12,6 +12,7 @@
 
 	"mimosayard/internal/core/catalog"
 	"mimosayard/internal/core/faults"
+	"mimosayard/internal/core/forecast"
 	"mimosayard/internal/core/releases"
 	"mimosayard/internal/core/retries"
 	"mimosayard/internal/core/tables"
@@ -62,7 +63,11 @@
 // mustAdmit admits a request of its own session, whose prompt has shared parts.
 func mustAdmit(t *testing.T, d *Dispatcher, route *catalog.Route, id string) *Task {
 	t.Helper()
-	task, fault := d.Admit(now, Request{ID: id, Route: route, Session: id, SharedPartsHash: 7, ArrivedAt: now, Deadline: now.Add(route.Timeout)})
+	request := Request{ID: id, Route: route, Session: id, ArrivedAt: now, Deadline: now.Add(route.Timeout)}
+	if len(route.Models) > 0 {
+		request.PromptTokens, request.SharedTokens, request.SharedPartsHash = 6000, 4000, 7
+	}
+	task, fault := d.Admit(now, request)
 	if fault != nil {
 		t.Fatal(fault)
 	}
@@ -318,7 +323,7 @@
 		}
 		local := newDispatcher(mixed...)
 		local.SetRollouts(now, []catalog.Rollout{rollout}, 0)
-		local.ApplyTotals(remote.Contribution(now), nil)
+		local.ApplyTotals(now, remote.Contribution(now), nil)
 		is.Equal(countOnTarget(t, local, 300), 0)
 	})
 }
@@ -328,21 +333,28 @@
 // requests fetch the part instead of reading it again.
 func TestSharedParts(t *testing.T) {
 	is := is.New(t)
-	d := newDispatcher(newUpstreams("v1", 6)...)
+	entries := newUpstreams("v1", 6)
+	for i := range entries {
+		entries[i].Address = fmt.Sprintf("127.0.0.1:%d", i+1)
+	}
+	d := newDispatcher(entries...)
 	route := newRoute(catalog.Streaming)
-	cacheHolders, fetchers := map[string]int{}, map[tables.UpstreamID]int{}
+	cacheHolders, fetchers, sources := map[string]int{}, map[tables.UpstreamID]int{}, map[string]int{}
 	for i := range 200 {
-		task := mustAdmit(t, d, route, strconv.Itoa(i))
-		task.Request.PromptTokens = 6000
-		call := mustNextCall(t, d, task)
-		if call.CacheSource == "" {
-			cacheHolders[string(call.Upstream.ID)]++
+		call := mustNextCall(t, d, mustAdmit(t, d, route, strconv.Itoa(i)))
+		if call.place == forecast.CacheHolder {
+			cacheHolders[call.Upstream.Address]++
 		} else {
 			fetchers[call.Upstream.ID]++
+			sources[call.CacheSource]++
 		}
 	}
 	is.Equal(len(cacheHolders), 1)
 	is.True(len(fetchers) > 1)
+	is.Equal(len(sources), 1)
+	for source := range sources {
+		is.True(cacheHolders[source] > 0)
+	}
 }
 
 // TestWorkAfterStart checks that an upstream has less work in flight once it
@@ -360,6 +372,67 @@
 	is.Equal(call.upstream.Work(), 0.0)
 }
 
+// TestStartTimeout guards requests that wait at a sound engine: one that reads
+// long prompts is busy, not broken, and a request that leaves it only joins the
+// end of another queue. An engine without any sign of life is left.
+func TestStartTimeout(t *testing.T) {
+	route := newRoute(catalog.Streaming)
+	route.Timeout = 20 * time.Second
+	longPrompt := func(t *testing.T) (*Dispatcher, *Task, *Call) {
+		t.Helper()
+		d := newDispatcher(newUpstreams("v1", 3)...)
+		task := mustAdmit(t, d, route, "a")
+		return d, task, mustNextCall(t, d, task)
+	}
+	t.Run("a silent upstream is given up when the timeout has passed", func(t *testing.T) {
+		is := is.New(t)
+		d, task, call := longPrompt(t)
+		is.True(call.StartTimeout > 0 && call.StartTimeout < route.Timeout)
+		is.Equal(d.ExtendStart(now.Add(call.StartTimeout), task, call), time.Duration(0))
+	})
+	t.Run("an upstream that starts answers of others is waited for", func(t *testing.T) {
+		is := is.New(t)
+		d, task, call := longPrompt(t)
+		other := mustAdmit(t, d, route, "b")
+		otherCall := mustNextCall(t, d, other)
+		is.Equal(otherCall.Upstream.ID, call.Upstream.ID)
+		later := now.Add(call.StartTimeout)
+		d.StartAnswer(later, other, otherCall, 100)
+		is.True(d.ExtendStart(later, task, call) > 0)
+	})
+	t.Run("an upstream that sends events to others is waited for", func(t *testing.T) {
+		is := is.New(t)
+		d, task, call := longPrompt(t)
+		otherCall := mustNextCall(t, d, mustAdmit(t, d, route, "b"))
+		later := now.Add(call.StartTimeout)
+		otherCall.RecordEvent(later, time.Millisecond)
+		is.True(d.ExtendStart(later, task, call) > 0)
+	})
+	t.Run("the wait grows with the prompt and the queue before it", func(t *testing.T) {
+		is := is.New(t)
+		d := newDispatcher(newUpstreams("v1", 1)...)
+		patient := newRoute(catalog.Streaming)
+		patient.Timeout = time.Hour
+		short, long := mustAdmit(t, d, patient, "a"), mustAdmit(t, d, patient, "b")
+		short.Request.PromptTokens, short.Request.SharedTokens = 500, 0
+		long.Request.PromptTokens, long.Request.SharedTokens = 200000, 0
+		shortCall, longCall := mustNextCall(t, d, short), mustNextCall(t, d, long)
+		is.True(longCall.ExpectedStart > shortCall.ExpectedStart)
+		is.True(longCall.StartTimeout > shortCall.StartTimeout)
+		queued := mustNextCall(t, d, mustAdmit(t, d, route, "c"))
+		fresh := newDispatcher(newUpstreams("v1", 1)...)
+		is.True(queued.ExpectedStart > mustNextCall(t, fresh, mustAdmit(t, fresh, route, "c")).ExpectedStart)
+	})
+	t.Run("a plain call is not extended", func(t *testing.T) {
+		is := is.New(t)
+		d := newDispatcher(newUpstreams("v1", 3)...)
+		safe := newRoute(catalog.Safe)
+		safe.Models = nil
+		task := mustAdmit(t, d, safe, "a")
+		is.Equal(d.ExtendStart(now, task, mustNextCall(t, d, task)), time.Duration(0))
+	})
+}
+
 // TestEvidence guards the evidence that decides on a new version. Evidence from
 // other instances must count, and the crash of an upstream must not be blamed on
 // its version.
@@ -381,7 +454,7 @@
 			}
 			remote.EndCall(now, task, call, result)
 		}
-		is.Equal(len(local.ApplyTotals(remote.Contribution(now), nil)), 1)
+		is.Equal(len(local.ApplyTotals(now, remote.Contribution(now), nil)), 1)
 		is.Equal(countOnTarget(t, local, 1000), 0)
 	})
 	t.Run("a fleet that starts late in a rollout compares slow answers with the target time of the route", func(t *testing.T) {
@@ -401,7 +474,7 @@
 			d.StartAnswer(now.Add(wait), task, call, -1)
 			d.EndCall(now.Add(wait), task, call, Served)
 		}
-		verdicts := d.ApplyTotals(nil, nil)
+		verdicts := d.ApplyTotals(now, nil, nil)
 		is := is.New(t)
 		is.Equal(len(verdicts), 1)
 		is.Equal(verdicts[0].Reason, releases.ReasonSlow)
@@ -419,7 +492,7 @@
 			}
 			d.EndCall(now, task, call, result)
 		}
-		is.Equal(len(d.ApplyTotals(d.Contribution(now), d.Contribution(now))), 0)
+		is.Equal(len(d.ApplyTotals(now, d.Contribution(now), d.Contribution(now))), 0)
 	})
 }
 
@@ -439,7 +512,7 @@
 				task := mustAdmit(t, d, newRoute(catalog.Streaming), strconv.Itoa(i)+at.String())
 				d.EndCall(now, task, mustNextCall(t, d, task), Served)
 			}
-			d.ApplyTotals(nil, nil)
+			d.ApplyTotals(now, nil, nil)
 			for _, step := range d.DueSteps(now.Add(at)) {
 				rollout.Progress = step.Progress
 			}
@@ -483,7 +556,7 @@
 			route := newRoute(catalog.Streaming)
 			b.ReportAllocs()
 			for i := range b.N {
-				task, _ := d.Admit(now, Request{ID: "a", Route: route, SharedPartsHash: uint64(i) + 1, ArrivedAt: now, Deadline: now.Add(time.Minute)})
+				task, _ := d.Admit(now, Request{ID: "a", Route: route, PromptTokens: 6000, SharedTokens: 4000, SharedPartsHash: uint64(i) + 1, ArrivedAt: now, Deadline: now.Add(time.Minute)})
 				call, _ := d.NextCall(now, task)
 				d.EndCall(now, task, call, Served)
 			}
--- a/internal/core/dispatch/evidence.go
+++ b/internal/core/dispatch/evidence.go
@@ -85,7 +85,7 @@
 // ApplyTotals replaces the fleet's sums, updates the upstreams and the evidence
 // from them, and returns the versions that the evidence shows to be bad.
 // Reported is this instance's part of the sums.
-func (d *Dispatcher) ApplyTotals(totals, reported aggregates.Values) []Verdict {
+func (d *Dispatcher) ApplyTotals(now time.Time, totals, reported aggregates.Values) []Verdict {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	d.totals = totals
@@ -94,8 +94,7 @@
 		for _, u := range s.upstreams {
 			work := upstreamKey(valueWork, u)
 			u.OthersWork = max(0, totals[work]-reported[work])
-			u.FleetCalls = totals[upstreamKey(valueRuns, u)]
-			u.FleetFailures = totals[upstreamKey(valueFails, u)]
+			u.SetFleetCounts(now, totals[upstreamKey(valueRuns, u)], totals[upstreamKey(valueFails, u)])
 		}
 		verdicts = append(verdicts, d.judgeRollout(s, totals, reported)...)
 	}
--- a/internal/core/dispatch/models.go
+++ b/internal/core/dispatch/models.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"mimosayard/internal/core/catalog"
+	"mimosayard/internal/core/forecast"
+	"mimosayard/internal/core/placement"
 	"mimosayard/internal/core/tables"
 )
 
@@ -20,27 +22,35 @@
 	// earlyTargetFraction is the fraction of the target up to which the
 	// expected wait does not lower the threshold.
 	earlyTargetFraction = 0.3
-	// minUrgencyTokens is the size of a prompt, in tokens of the most expensive
-	// model, from which urgencies are counted. Urgencies go from minUrgency to
-	// maxUrgency, which also covers the longest prompts. Upstreams treat calls
-	// without an urgency as 5.
-	minUrgencyTokens = 300
-	minUrgency       = 1
-	maxUrgency       = 5
-	// urgencyStepFactor is the ratio of prompt sizes between two urgencies.
+	// minUrgencyTime is the time that an engine reads a prompt from which
+	// urgencies are counted. Urgencies go from minUrgency to maxUrgency.
+	// Upstreams treat calls without an urgency as 5.
+	minUrgencyTime = 8
+	minUrgency     = 1
+	maxUrgency     = 5
+	// urgencyStepFactor is the ratio of reading times between two urgencies.
 	urgencyStepFactor = 4
-	// answerWork is the work of generating an answer, in units of a request
-	// without a prompt. referencePromptTokens is the length of a prompt whose
-	// reading takes one unit of work.
-	answerWork            = 0.4
-	referencePromptTokens = 6000.0
-	// minModelWork is the work of a request to the cheapest model, relative to
-	// one to the most expensive model.
-	minModelWork = 0.2
 	// startedWorkFraction is the fraction of a call's work that is left once
 	// its answer has started. Its prompt no longer delays other prompts, but
 	// its events still slow them.
-	startedWorkFraction = 0.6
+	startedWorkFraction = 0.1
+	// priorReadFraction is the expected fraction of a route's target in which the
+	// largest model reads a long prompt, one of longPromptTokens or more.
+	// defaultLatencyTarget stands for the target of a route without one.
+	priorReadFraction    = 0.25
+	longPromptTokens     = 8000
+	defaultLatencyTarget = time.Second
+	// remotePenaltyFraction is the longer wait that a request accepts to stay in
+	// its data centre, as a fraction of the route's target.
+	remotePenaltyFraction = 0.03
+	// minMoveCost is the least gain for which a prompt leaves the upstream that it
+	// would otherwise go to.
+	minMoveCost = 20
+	// moveCostFactor multiplies the reading time that a move may cost. Prompts that
+	// follow miss the cache too if the holder never read the shared parts.
+	moveCostFactor = 3
+	// minRelativeCost bounds the expected speed of very cheap models.
+	minRelativeCost = 0.1
 	// startTimeoutFactor bounds the wait for the start of an answer as a
 	// multiple of the usual wait. minStartTimeout is the shortest bound.
 	startTimeoutFactor = 6
@@ -87,26 +97,21 @@
 	if target <= 0 {
 		return earlyEscalationConfidence
 	}
-	expectedWait := now.Sub(task.Request.ArrivedAt)
-	if l := task.service.latencies[latencyKey{task.Request.Route.Class(), larger}]; l != nil {
-		expectedWait += l.start.value
-	}
+	expectedWait := now.Sub(task.Request.ArrivedAt) + d.expectedStart(now, task, larger)
 	lateness := (expectedWait.Seconds()/target.Seconds() - earlyTargetFraction) / (1 - earlyTargetFraction)
 	return earlyEscalationConfidence - (earlyEscalationConfidence-lateEscalationConfidence)*min(1, max(0, lateness))
 }
 
 // startTimeout returns how long to wait for the start of an answer before the
 // request is sent to another upstream, zero to wait until the deadline.
-func (d *Dispatcher) startTimeout(task *Task, remaining time.Duration) time.Duration {
-	if !task.Request.Route.Repeatable() {
+func (d *Dispatcher) startTimeout(task *Task, call *Call, remaining time.Duration) time.Duration {
+	route := task.Request.Route
+	if !route.Repeatable() {
 		return 0
 	}
-	timeout := minStartTimeout
-	if l := task.service.latencies[latencyKey{task.Request.Route.Class(), task.model}]; l != nil {
-		timeout = max(timeout, startTimeoutFactor*l.start.value)
-	}
-	if target := task.Request.Route.LatencyTarget; target > 0 && task.Request.Route.Kind == catalog.Safe {
-		timeout = min(timeout, 3*target)
+	timeout := max(minStartTimeout, startTimeoutFactor*call.ExpectedStart)
+	if route.LatencyTarget > 0 && route.Kind == catalog.Safe {
+		timeout = min(timeout, 3*route.LatencyTarget)
 	}
 	if timeout >= remaining {
 		return 0
@@ -114,50 +119,152 @@
 	return timeout
 }
 
-// urgencyFor returns the rank of a call among those that wait at its upstream:
-// the less work its prompt is, the earlier. A short prompt behind a long one
+// promptWait returns the expected wait for the start of a model's answer to the
+// task.
+func (d *Dispatcher) promptWait(task *Task, model tables.ModelID) placement.PromptWait {
+	e, prompt := d.estimator(task, model), task.prompt()
+	wait := placement.PromptWait{
+		RemotePenalty: forecast.NewMilliseconds(task.latencyTarget()) * remotePenaltyFraction,
+		AtHolder:      e.Wait(prompt, forecast.CacheHolder),
+		Elsewhere:     e.Wait(prompt, forecast.Elsewhere),
+		MoveCost:      minMoveCost + moveCostFactor*e.MoveCost(prompt),
+	}
+	ahead := task.service.urgencies.shareAhead(urgencyFor(e.ReadTime(prompt, forecast.CacheHolder)))
+	wait.AtHolder.PerBacklog *= ahead
+	wait.Elsewhere.PerBacklog *= ahead
+	return wait
+}
+
+// expectedStart returns the expected wait for the start of a model's answer to
+// the task if it was called now.
+func (d *Dispatcher) expectedStart(now time.Time, task *Task, model tables.ModelID) time.Duration {
+	if !task.readsPrompt() {
+		return 0
+	}
+	_, candidates := d.candidates(now, task)
+	wait := d.promptWait(task, model)
+	u, cacheHolder, _ := d.chooser.Choose(now, candidates, placement.Criteria{AffinityKey: task.affinityKey(model), DataCenter: d.dataCenter, Prompt: &wait})
+	if u == nil {
+		return 0
+	}
+	return wait.At(u, u == cacheHolder).Duration()
+}
+
+// urgencyFor returns the rank among the prompts that wait at an upstream: the
+// shorter a prompt's reading time, the earlier. A short prompt behind a long one
 // would wait many times its own reading time, while the long one loses little
 // by letting it pass. Prompts of the same urgency keep the order of their
 // arrival, so that long ones wait only for much shorter ones.
-func (d *Dispatcher) urgencyFor(task *Task) *int {
-	if len(task.Request.Route.Models) == 0 || task.Request.PromptTokens <= 0 {
-		return nil
+func urgencyFor(readTime forecast.Milliseconds) int {
+	steps := math.Log(max(1, float64(readTime)/minUrgencyTime)) / math.Log(urgencyStepFactor)
+	return min(maxUrgency, int(steps)+minUrgency)
+}
+
+// urgencyMix is the mix of urgencies in a service's work. The zero value has no
+// work.
+type urgencyMix struct {
+	// work is the recent work by urgency, with a decreasing weight for older
+	// work.
+	work [maxUrgency + 1]float64
+}
+
+// mixMemory is the factor by which the weight of past work decreases with each
+// call.
+const mixMemory = 0.98
+
+// add adds the work of a call.
+func (m *urgencyMix) add(urgency int, work float64) {
+	for i := range m.work {
+		m.work[i] *= mixMemory
 	}
-	weightedTokens := float64(task.Request.PromptTokens) * d.modelWork(task)
-	urgency := int(math.Log(max(1, weightedTokens/minUrgencyTokens))/math.Log(urgencyStepFactor)) + minUrgency
-	urgency = min(maxUrgency, urgency)
-	return &urgency
+	m.work[urgency] += work
 }
 
-// modelWork returns the work of a request to the task's model, as a fraction of
-// that of a request to the service's most expensive model.
-func (d *Dispatcher) modelWork(task *Task) float64 {
-	if task.model == "" || d.index == nil {
+// shareAhead returns the share of the work that engines do before a prompt of
+// the urgency that arrives after it.
+func (m *urgencyMix) shareAhead(urgency int) float64 {
+	ahead, total := 0.0, 0.0
+	for i, work := range m.work {
+		total += work
+		if i <= urgency {
+			ahead += work
+		}
+	}
+	if total <= 0 {
 		return 1
 	}
-	service := d.index.Service(task.service.name)
+	return ahead / total
+}
+
+// readsPrompt reports whether an engine reads a prompt for the task.
+func (t *Task) readsPrompt() bool {
+	return t.Request.PromptTokens > 0 && t.runModel() != ""
+}
+
+// runModel returns the model that the task's next call runs on, empty if its
+// request needs none.
+func (t *Task) runModel() tables.ModelID {
+	if t.model != "" {
+		return t.model
+	}
+	return t.Request.Model
+}
+
+// prompt returns what an engine reads for the task.
+func (t *Task) prompt() forecast.Prompt {
+	shared := min(t.Request.SharedTokens, t.Request.PromptTokens)
+	return forecast.Prompt{Own: t.Request.PromptTokens - shared, Shared: shared}
+}
+
+// estimator returns the estimator of a model, which it creates if there is none.
+func (d *Dispatcher) estimator(task *Task, model tables.ModelID) *forecast.Estimator {
+	s := task.service
+	e := s.estimators[model]
+	if e == nil {
+		e = forecast.New(d.priorReadTime(task, model))
+		s.estimators[model] = e
+	}
+	return e
+}
+
+// priorReadTime returns the time in which a model is expected to read a thousand
+// tokens, before any call was seen. Operators set targets that leave several
+// times the reading time of the largest model for long prompts, and smaller
+// models are faster about as much as they are cheaper.
+func (d *Dispatcher) priorReadTime(task *Task, model tables.ModelID) forecast.Milliseconds {
+	readTime := forecast.NewMilliseconds(task.latencyTarget()) * priorReadFraction
+	thousands := max(longPromptTokens, float64(task.Request.PromptTokens)) / 1000
+	return readTime / forecast.Milliseconds(thousands) * forecast.Milliseconds(d.relativeCost(task.service.name, model))
+}
+
+// latencyTarget returns the target of the task's route, or
+// defaultLatencyTarget.
+func (t *Task) latencyTarget() time.Duration {
+	if target := t.Request.Route.LatencyTarget; target > 0 {
+		return target
+	}
+	return defaultLatencyTarget
+}
+
+// relativeCost returns the cost of a model as a fraction of that of the
+// service's most expensive model, at least minRelativeCost.
+func (d *Dispatcher) relativeCost(name tables.ServiceID, model tables.ModelID) float64 {
+	if d.index == nil {
+		return 1
+	}
+	service := d.index.Service(name)
 	if service == nil || service.Engine == nil {
 		return 1
 	}
 	cost, maxCost := 0.0, 0.0
-	for _, model := range service.Engine.Models {
-		maxCost = max(maxCost, model.CostPerThousandTokens)
-		if model.Name == task.model {
-			cost = model.CostPerThousandTokens
+	for _, m := range service.Engine.Models {
+		maxCost = max(maxCost, m.CostPerThousandTokens)
+		if m.Name == model {
+			cost = m.CostPerThousandTokens
 		}
 	}
-	if maxCost <= 0 {
-		return 1
-	}
-	return max(minModelWork, cost/maxCost)
-}
-
-// promptWork returns the work of a request by the length of its prompt, in
-// units of a request without a prompt. The part for the answer does not depend
-// on the prompt.
-func promptWork(task *Task) float64 {
-	if task.Request.PromptTokens <= 0 {
+	if maxCost <= 0 || cost <= 0 {
 		return 1
 	}
-	return answerWork + float64(task.Request.PromptTokens)/referencePromptTokens
+	return max(minRelativeCost, cost/maxCost)
 }
--- a/internal/core/dispatch/task.go
+++ b/internal/core/dispatch/task.go
@@ -7,6 +7,7 @@
 
 	"mimosayard/internal/core/catalog"
 	"mimosayard/internal/core/faults"
+	"mimosayard/internal/core/forecast"
 	"mimosayard/internal/core/placement"
 	"mimosayard/internal/core/tables"
 )
@@ -21,6 +22,8 @@
 	// Model is empty if the router chooses the model.
 	Model        tables.ModelID
 	PromptTokens tables.Tokens
+	// SharedTokens is the number of prompt tokens in SharedPartsHash.
+	SharedTokens tables.Tokens
 	// SharedPartsHash is the hash of the parts of the prompt that other
 	// requests may share, zero if there are none.
 	SharedPartsHash uint64
@@ -65,8 +68,16 @@
 	StartTimeout time.Duration
 	// UpstreamWork is the upstream's work in flight before the call.
 	UpstreamWork float64
+	// ExpectedStart is the expected wait for the start of the answer, zero if
+	// the call has no prompt.
+	ExpectedStart time.Duration
 
 	upstream *placement.Upstream
+	urgency  int
+	// place is the relation of the upstream to the shared parts of the prompt.
+	place forecast.Place
+	// backlog is the upstream's work that is done before the call's.
+	backlog forecast.Milliseconds
 	// work is the call's part of the upstream's work in flight.
 	work    float64
 	sentAt  time.Time
@@ -131,7 +142,13 @@
 		return nil, fault
 	}
 	version, candidates := d.candidates(now, task)
-	u, cacheHolder := d.chooser.Choose(now, candidates, placement.Criteria{AffinityKey: task.affinityKey(), DataCenter: d.dataCenter, Tried: task.tried})
+	criteria := placement.Criteria{DataCenter: d.dataCenter, Tried: task.tried}
+	wait := placement.PromptWait{}
+	if task.readsPrompt() {
+		wait = d.promptWait(task, task.runModel())
+		criteria.AffinityKey, criteria.Prompt = task.affinityKey(task.runModel()), &wait
+	}
+	u, cacheHolder, source := d.chooser.Choose(now, candidates, criteria)
 	if u == nil {
 		return nil, noUpstream(task.service.name)
 	}
@@ -143,15 +160,30 @@
 	call := &Call{
 		Upstream:     u.Upstream,
 		Model:        task.model,
-		Urgency:      d.urgencyFor(task),
-		StartTimeout: d.startTimeout(task, remaining),
 		UpstreamWork: u.Work(),
 		upstream:     u,
-		work:         d.modelWork(task) * promptWork(task),
+		work:         1,
 		sentAt:       now,
 	}
-	if cacheHolder != nil && cacheHolder != u {
-		call.CacheSource = cacheHolder.Address
+	if criteria.Prompt != nil {
+		call.place = forecast.Elsewhere
+		if u == cacheHolder {
+			call.place = forecast.CacheHolder
+		}
+		e := d.estimator(task, task.runModel())
+		readTime := e.ReadTime(task.prompt(), call.place)
+		call.work = float64(readTime)
+		call.ExpectedStart = wait.At(u, u == cacheHolder).Duration()
+		call.urgency = urgencyFor(readTime)
+		call.backlog = forecast.Milliseconds(u.Work() * task.service.urgencies.shareAhead(call.urgency))
+		task.service.urgencies.add(call.urgency, call.work)
+		if len(task.Request.Route.Models) > 0 {
+			call.Urgency = &call.urgency
+		}
+	}
+	call.StartTimeout = d.startTimeout(task, call, remaining)
+	if source != nil {
+		call.CacheSource = source.Address
 	}
 	u.AddWork(call.work)
 	d.rememberSession(now, task)
@@ -166,8 +198,12 @@
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	call.started = true
+	call.upstream.RecordSign(now)
 	call.startLatency = now.Sub(call.sentAt)
 	call.removePromptWork()
+	if call.ExpectedStart > 0 {
+		d.estimator(task, task.runModel()).Observe(task.prompt(), call.place, call.backlog, forecast.NewMilliseconds(call.startLatency))
+	}
 	larger := d.escalationModel(now, task, confidence)
 	if larger == "" {
 		return true
@@ -177,10 +213,23 @@
 	return false
 }
 
+// ExtendStart returns how much longer to wait for the start of an answer whose
+// start timeout has passed, zero to give the call up. A busy upstream that still
+// answers other calls is given more time, since the request would only join the
+// end of another queue. A silent one is not.
+func (d *Dispatcher) ExtendStart(now time.Time, task *Task, call *Call) time.Duration {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if task.Request.Route.Kind != catalog.Streaming || !call.upstream.Alive(now) {
+		return 0
+	}
+	return placement.AliveTimeout
+}
+
 // removePromptWork removes the work of reading the prompt, which is done once
 // the answer starts.
 func (c *Call) removePromptWork() {
-	if c.Model == "" {
+	if c.ExpectedStart <= 0 {
 		return
 	}
 	promptWork := c.work * (1 - startedWorkFraction)
@@ -200,8 +249,9 @@
 	return c.startLatency
 }
 
-// RecordEvent records an event of a stream and the gap before it.
-func (c *Call) RecordEvent(gap time.Duration) {
+// RecordEvent records an event of a stream, now, and the gap before it.
+func (c *Call) RecordEvent(now time.Time, gap time.Duration) {
+	c.upstream.RecordSign(now)
 	c.totalGap += gap
 	c.events++
 }
@@ -292,13 +342,13 @@
 // affinityKey returns the key for the choice of an upstream, zero if the prompt
 // shares nothing. It depends on the model, since models do not share caches. Its
 // lowest bit is set, so that no hash is mistaken for a missing key.
-func (t *Task) affinityKey() uint64 {
+func (t *Task) affinityKey(model tables.ModelID) uint64 {
 	if t.Request.SharedPartsHash == 0 {
 		return 0
 	}
 	var digest xxhash.Digest
 	digest.ResetWithSeed(t.Request.SharedPartsHash)
-	_, _ = digest.WriteString(string(t.model))
+	_, _ = digest.WriteString(string(model))
 	return digest.Sum64() | 1
 }
 
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -3,9 +3,9 @@
 // Requests whose prompts share parts go to the same upstream, because an
 // upstream that has cached these parts need not read them again. Rendezvous
 // hashing gives the same choice on every instance without coordination. The
-// load of an upstream chosen this way is bounded: beyond the bound the request
-// goes to another upstream. Requests without a prompt go to the upstream with
-// the least work.
+// request goes to another upstream if its answer would start so much sooner
+// there that this outweighs the reading that the cache saves. Requests without
+// a prompt go to the upstream with the least work.
 package placement
 
 import (
@@ -13,11 +13,13 @@
 	"math/bits"
 	"math/rand/v2"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
 	"mimosayard/internal/core/catalog"
+	"mimosayard/internal/core/forecast"
 	"mimosayard/internal/core/tables"
 )
 
@@ -27,8 +29,9 @@
 	// rest of the fleet.
 	OwnWork    float64
 	OthersWork float64
-	// idHash is the hash of the ID.
-	idHash uint64
+	// idHash is the hash of the ID, dataCenterHash that of the data centre.
+	idHash         uint64
+	dataCenterHash uint64
 	// cooldownUntil is when the cooldown after failures ends, zero if there was
 	// none.
 	cooldownUntil time.Time
@@ -50,6 +53,11 @@
 	// consecutiveFailures counts the failures that started a cooldown since the
 	// last success.
 	consecutiveFailures int
+	// registeredAt is when the upstream became known. lastSign is the time of the
+	// last sign of life, an answer that started or an event, in nanoseconds since
+	// then. Calls record it without the dispatcher's lock.
+	registeredAt time.Time
+	lastSign     atomic.Int64
 	// decayedAt is when Calls and Failures were last decayed, zero before the
 	// first time.
 	decayedAt time.Time
@@ -60,19 +68,34 @@
 	// AffinityKey is the hash of what the prompt shares with other requests,
 	// zero if it shares nothing.
 	AffinityKey uint64
+	// Prompt is the expected wait for the start of the answer, nil for a
+	// request without a prompt.
+	Prompt *PromptWait
 	// DataCenter is the data centre whose upstreams are preferred.
 	DataCenter tables.DataCenterID
 	// Tried are the upstreams that the request has already been sent to.
 	Tried []tables.UpstreamID
 }
 
+// A PromptWait is the expected wait for the start of the answer to a prompt, as
+// a function of an upstream's work.
+type PromptWait struct {
+	// AtHolder is the wait at the cache holder, Elsewhere that at any other
+	// upstream.
+	AtHolder, Elsewhere forecast.Line
+	// MoveCost is the longer wait that a request accepts to stay where the
+	// shared parts of its prompt are cached.
+	MoveCost forecast.Milliseconds
+	// RemotePenalty is added to the wait at upstreams in other data centres, for
+	// the bytes that go between data centres.
+	RemotePenalty forecast.Milliseconds
+}
+
+// AliveTimeout is the time after a sign of life for which an upstream counts as
+// alive.
+const AliveTimeout = 1500 * time.Millisecond
+
 const (
-	// maxLoadFactor and loadAllowance bound the work of an upstream that is
-	// chosen by affinity, as a multiple of the mean and an amount above it. A
-	// request that moves to another upstream has to be read there from the
-	// start.
-	maxLoadFactor = 1.3
-	loadAllowance = 1.6
 	// remotePenalty is the load, in work per slot, that is added to an upstream
 	// in another data centre.
 	remotePenalty = 0.15
@@ -134,6 +157,26 @@
 	u.cooldownUntil = now.Add(minCooldown / 4)
 }
 
+// RecordSign records a sign of life of the upstream.
+func (u *Upstream) RecordSign(now time.Time) {
+	u.lastSign.Store(int64(now.Sub(u.registeredAt)))
+}
+
+// Alive reports whether the upstream gave a sign of life within the last
+// AliveTimeout.
+func (u *Upstream) Alive(now time.Time) bool {
+	return now.Sub(u.registeredAt)-time.Duration(u.lastSign.Load()) < AliveTimeout
+}
+
+// SetFleetCounts sets the counts over the whole fleet. A higher count of
+// successful calls is a sign of life.
+func (u *Upstream) SetFleetCounts(now time.Time, calls, failures float64) {
+	if calls-failures > u.FleetCalls-u.FleetFailures {
+		u.RecordSign(now)
+	}
+	u.FleetCalls, u.FleetFailures = calls, failures
+}
+
 // MarkAddressReused records that another upstream answers at the address.
 func (u *Upstream) MarkAddressReused() {
 	u.addressReused = true
@@ -142,8 +185,12 @@
 // SetEntry replaces the registration of the upstream and records when it began
 // to drain.
 func (u *Upstream) SetEntry(now time.Time, entry catalog.Upstream) {
+	if u.registeredAt.IsZero() {
+		u.registeredAt = now
+	}
 	u.Upstream = entry
 	u.idHash = xxhash.Sum64String(string(entry.ID))
+	u.dataCenterHash = xxhash.Sum64String(string(entry.DataCenter))
 	if entry.Ready {
 		u.drainingSince = time.Time{}
 	} else if u.drainingSince.IsZero() {
@@ -168,18 +215,31 @@
 	return u.cooldownUntil.IsZero() || !now.Before(u.cooldownUntil)
 }
 
+// At returns the expected wait at the upstream, of which holder tells whether it
+// is the cache holder.
+func (w *PromptWait) At(u *Upstream, holder bool) forecast.Milliseconds {
+	line := w.Elsewhere
+	if holder {
+		line = w.AtHolder
+	}
+	return line.At(forecast.Milliseconds(u.Work()))
+}
+
 // A Chooser chooses upstreams. It is not safe for concurrent use.
 type Chooser struct {
 	Random *rand.Rand
-	// candidates is reused between choices to avoid allocations.
+	// candidates are the upstreams of the present choice, scores and waits their
+	// scores and expected waits. They are reused to avoid allocations.
 	candidates []*Upstream
+	scores     []uint64
+	waits      []forecast.Milliseconds
 }
 
 // Choose returns the upstream for a request, or nil if none is left, and the
 // upstream that most likely has the shared part of the prompt in its cache, nil
 // if the prompt shares nothing. Upstreams in cooldown, draining or already tried
 // are chosen only if there is no other.
-func (c *Chooser) Choose(now time.Time, upstreams []*Upstream, criteria Criteria) (chosen, cacheHolder *Upstream) {
+func (c *Chooser) Choose(now time.Time, upstreams []*Upstream, criteria Criteria) (chosen, cacheHolder, source *Upstream) {
 	for t := preferred; t <= usable; t++ {
 		c.candidates = c.candidates[:0]
 		for _, u := range upstreams {
@@ -190,12 +250,12 @@
 		if len(c.candidates) == 0 {
 			continue
 		}
-		if criteria.AffinityKey != 0 {
-			return chooseByAffinity(c.candidates, criteria.AffinityKey)
+		if criteria.Prompt != nil {
+			return c.chooseByWait(criteria.AffinityKey, criteria.DataCenter, criteria.Prompt)
 		}
-		return chooseByLoad(c.candidates, criteria.DataCenter, c.Random), nil
+		return chooseByLoad(c.candidates, criteria.DataCenter, c.Random), nil, nil
 	}
-	return nil, nil
+	return nil, nil, nil
 }
 
 // tier is a set of upstreams that may be chosen. Each tier is tried only if the
@@ -219,7 +279,7 @@
 func (u *Upstream) eligible(t tier, now time.Time, tried []tables.UpstreamID) bool {
 	switch t {
 	case preferred:
-		return u.Usable() && u.CooldownOver(now) && !slices.Contains(tried, u.ID)
+		return u.Usable() && u.CooldownOver(now) && (len(tried) == 0 || !slices.Contains(tried, u.ID))
 	case untried:
 		return u.Usable() && !slices.Contains(tried, u.ID)
 	case draining:
@@ -228,34 +288,58 @@
 	return u.Usable()
 }
 
-// chooseByAffinity returns the candidate with the highest hash among those
-// within the load bound, and the one with the highest hash of all. The chosen
-// one can fetch the cached part of the prompt from the latter faster than it
-// can read it.
-func chooseByAffinity(candidates []*Upstream, key uint64) (chosen, cacheHolder *Upstream) {
-	total := 0.0
-	for _, u := range candidates {
-		total += u.Work()
-	}
-	maxWork := maxLoadFactor*total/float64(len(candidates)) + loadAllowance
-	var leastLoaded *Upstream
-	var chosenHash, cacheHolderHash uint64
-	for _, u := range candidates {
-		if leastLoaded == nil || u.Work() < leastLoaded.Work() {
-			leastLoaded = u
+// chooseByWait returns the upstream for a prompt, its cache holder, and the
+// upstream from which to fetch shared parts, the last two nil if the key is zero.
+//
+// The cache holder is the candidate with the highest score. The chosen upstream
+// has the highest score among those whose expected wait is close enough to the
+// shortest one, so that requests with the same key also stay together at
+// upstreams other than the cache holder. Where these send a key is where the
+// cache holder looks for parts that it lacks.
+func (c *Chooser) chooseByWait(key uint64, dataCenter tables.DataCenterID, wait *PromptWait) (chosen, cacheHolder, source *Upstream) {
+	c.scores, c.waits = c.scores[:0], c.waits[:0]
+	local := xxhash.Sum64String(string(dataCenter))
+	holder, runnerUp := -1, -1
+	shortest := forecast.Milliseconds(math.Inf(1))
+	for i, u := range c.candidates {
+		score, expected := u.Score(key), wait.Elsewhere.At(forecast.Milliseconds(u.Work()))
+		if u.dataCenterHash != local {
+			expected += wait.RemotePenalty
+		}
+		c.scores, c.waits = append(c.scores, score), append(c.waits, expected)
+		switch {
+		case holder < 0 || score > c.scores[holder]:
+			holder, runnerUp = i, holder
+		case runnerUp < 0 || score > c.scores[runnerUp]:
+			runnerUp = i
 		}
-		hash := u.Score(key)
-		if cacheHolder == nil || hash > cacheHolderHash {
-			cacheHolder, cacheHolderHash = u, hash
+		if expected < shortest {
+			shortest = expected
 		}
-		if u.Work() <= maxWork && (chosen == nil || hash > chosenHash) {
-			chosen, chosenHash = u, hash
+	}
+	if key != 0 {
+		cacheHolder = c.candidates[holder]
+		c.waits[holder] += wait.AtHolder.At(forecast.Milliseconds(cacheHolder.Work())) - wait.Elsewhere.At(forecast.Milliseconds(cacheHolder.Work()))
+		shortest = min(shortest, c.waits[holder])
+	}
+	best := holder
+	if c.waits[holder] > shortest+wait.MoveCost {
+		best = -1
+		for i, expected := range c.waits {
+			if expected <= shortest+wait.MoveCost && (best < 0 || c.scores[i] > c.scores[best]) {
+				best = i
+			}
 		}
 	}
-	if chosen == nil {
-		chosen = leastLoaded
+	chosen = c.candidates[best]
+	switch {
+	case key == 0:
+	case best != holder:
+		source = cacheHolder
+	case runnerUp >= 0:
+		source = c.candidates[runnerUp]
 	}
-	return chosen, cacheHolder
+	return chosen, cacheHolder, source
 }
 
 // chooseByLoad returns the candidate with the least work per slot.
--- a/internal/core/placement/placement_test.go
+++ b/internal/core/placement/placement_test.go
@@ -10,6 +10,7 @@
 	"github.com/matryer/is"
 
 	"mimosayard/internal/core/catalog"
+	"mimosayard/internal/core/forecast"
 	"mimosayard/internal/core/tables"
 )
 
@@ -32,52 +33,92 @@
 }
 
 func choose(upstreams []*Upstream, criteria Criteria) *Upstream {
-	chosen, _ := newChooser().Choose(now, upstreams, criteria)
+	chosen, _, _ := newChooser().Choose(now, upstreams, criteria)
 	return chosen
 }
 
+// promptCriteria returns the criteria of a prompt whose shared parts have the
+// key. It reads 100 ms at the cache holder and 300 ms elsewhere.
+func promptCriteria(key uint64) Criteria {
+	return Criteria{AffinityKey: key, Prompt: &PromptWait{
+		AtHolder:  forecast.Line{Base: 100, PerBacklog: 1},
+		Elsewhere: forecast.Line{Base: 300, PerBacklog: 1},
+		MoveCost:  200,
+	}}
+}
+
 // TestChoose guards the choice of an upstream. If instances chose different
 // upstreams for a key, prompts would miss the caches. An upstream that failed,
 // is draining or lost its address must not get work while another is available.
 func TestChoose(t *testing.T) {
 	t.Run("instances agree on the upstream of a key", func(t *testing.T) {
-		is.New(t).Equal(choose(newUpstreams(9), Criteria{AffinityKey: 7}).ID, choose(newUpstreams(9), Criteria{AffinityKey: 7}).ID)
+		is.New(t).Equal(choose(newUpstreams(9), promptCriteria(7)).ID, choose(newUpstreams(9), promptCriteria(7)).ID)
 	})
 	t.Run("keys spread over the upstreams", func(t *testing.T) {
 		upstreams := newUpstreams(9)
 		seen := map[tables.UpstreamID]bool{}
 		for key := range uint64(200) {
-			seen[choose(upstreams, Criteria{AffinityKey: key + 1}).ID] = true
+			seen[choose(upstreams, promptCriteria(key+1)).ID] = true
 		}
 		is.New(t).Equal(len(seen), 9)
 	})
 	t.Run("a key moves away from an upstream with far more work than the others", func(t *testing.T) {
 		upstreams := newUpstreams(9)
-		first := choose(upstreams, Criteria{AffinityKey: 7})
-		first.AddWork(20)
-		is.New(t).True(choose(upstreams, Criteria{AffinityKey: 7}) != first)
+		first := choose(upstreams, promptCriteria(7))
+		first.AddWork(2000)
+		is.New(t).True(choose(upstreams, promptCriteria(7)) != first)
 	})
 	t.Run("a key moved by load names its upstream as the cache holder", func(t *testing.T) {
 		is := is.New(t)
 		upstreams := newUpstreams(9)
-		first := choose(upstreams, Criteria{AffinityKey: 7})
-		first.AddWork(20)
-		chosen, cacheHolder := newChooser().Choose(now, upstreams, Criteria{AffinityKey: 7})
+		first := choose(upstreams, promptCriteria(7))
+		first.AddWork(2000)
+		chosen, cacheHolder, source := newChooser().Choose(now, upstreams, promptCriteria(7))
 		is.True(chosen != first)
 		is.Equal(cacheHolder, first)
+		is.Equal(source, first)
+	})
+	t.Run("a key stays where it is cached while the wait is not much longer", func(t *testing.T) {
+		upstreams := newUpstreams(9)
+		first := choose(upstreams, promptCriteria(7))
+		first.AddWork(350)
+		is.New(t).Equal(choose(upstreams, promptCriteria(7)), first)
+	})
+	t.Run("the cache holder fetches from the upstream to which the key moves", func(t *testing.T) {
+		is := is.New(t)
+		upstreams := newUpstreams(9)
+		first, _, source := newChooser().Choose(now, upstreams, promptCriteria(7))
+		first.AddWork(2000)
+		is.Equal(choose(upstreams, promptCriteria(7)), source)
+	})
+	t.Run("prompts stay in their data centre if the wait there is about as short", func(t *testing.T) {
+		is := is.New(t)
+		upstreams := newUpstreams(6)
+		for i, u := range upstreams {
+			if i > 0 {
+				entry := u.Upstream
+				entry.DataCenter = "there"
+				u.SetEntry(now, entry)
+			}
+		}
+		criteria := promptCriteria(0)
+		criteria.DataCenter, criteria.Prompt.MoveCost, criteria.Prompt.RemotePenalty = "here", 0, 50
+		is.Equal(choose(upstreams, criteria), upstreams[0])
+		upstreams[0].AddWork(60)
+		is.True(choose(upstreams, criteria) != upstreams[0])
 	})
 	t.Run("an upstream in cooldown is not named as the cache holder", func(t *testing.T) {
 		upstreams := newUpstreams(9)
-		first := choose(upstreams, Criteria{AffinityKey: 7})
+		first := choose(upstreams, promptCriteria(7))
 		first.RecordFailure(now, true)
-		chosen, cacheHolder := newChooser().Choose(now, upstreams, Criteria{AffinityKey: 7})
+		chosen, cacheHolder, _ := newChooser().Choose(now, upstreams, promptCriteria(7))
 		is.New(t).Equal(cacheHolder, chosen)
 	})
 	t.Run("work of other instances counts towards the load", func(t *testing.T) {
 		upstreams := newUpstreams(9)
-		first := choose(upstreams, Criteria{AffinityKey: 7})
-		first.OthersWork = 20
-		is.New(t).True(choose(upstreams, Criteria{AffinityKey: 7}) != first)
+		first := choose(upstreams, promptCriteria(7))
+		first.OthersWork = 2000
+		is.New(t).True(choose(upstreams, promptCriteria(7)) != first)
 	})
 	t.Run("without a key the upstream with the least work is chosen", func(t *testing.T) {
 		upstreams := newUpstreams(3)
@@ -111,7 +152,7 @@
 		gone.Ready = false
 		upstreams[0].SetEntry(now, gone)
 		is.True(choose(upstreams, Criteria{}) != nil)
-		chosen, _ := newChooser().Choose(now.Add(drainGracePeriod), upstreams, Criteria{})
+		chosen, _, _ := newChooser().Choose(now.Add(drainGracePeriod), upstreams, Criteria{})
 		is.True(chosen == nil)
 	})
 	t.Run("an upstream that fails a part of its calls over the fleet is in cooldown", func(t *testing.T) {
@@ -127,6 +168,33 @@
 	})
 }
 
+// TestAlive guards against waiting for a silent upstream, and against leaving a
+// busy one. Answers to this instance and to others are signs of life.
+func TestAlive(t *testing.T) {
+	later := now.Add(AliveTimeout)
+	t.Run("an upstream without a sign of life is not alive", func(t *testing.T) {
+		is.New(t).True(!newUpstreams(1)[0].Alive(later))
+	})
+	t.Run("an answer to this instance is a sign of life", func(t *testing.T) {
+		is := is.New(t)
+		u := newUpstreams(1)[0]
+		u.RecordSign(now.Add(time.Second))
+		is.True(u.Alive(later))
+		is.True(!u.Alive(later.Add(time.Second)))
+	})
+	t.Run("more successful calls over the fleet are a sign of life", func(t *testing.T) {
+		is := is.New(t)
+		u := newUpstreams(1)[0]
+		u.SetFleetCounts(now.Add(time.Second), 2, 0)
+		is.True(u.Alive(later))
+	})
+	t.Run("more failed calls over the fleet are no sign of life", func(t *testing.T) {
+		u := newUpstreams(1)[0]
+		u.SetFleetCounts(now.Add(time.Second), 2, 2)
+		is.New(t).True(!u.Alive(later))
+	})
+}
+
 // BenchmarkChoose measures a choice among the upstreams of a present fleet and
 // of the largest one that the design allows for.
 func BenchmarkChoose(b *testing.B) {
@@ -134,9 +202,11 @@
 		b.Run(strconv.Itoa(count), func(b *testing.B) {
 			upstreams := newUpstreams(count)
 			c := newChooser()
+			criteria := promptCriteria(0)
 			b.ReportAllocs()
 			for i := range b.N {
-				c.Choose(now, upstreams, Criteria{AffinityKey: uint64(i) + 1})
+				criteria.AffinityKey = uint64(i) + 1
+				c.Choose(now, upstreams, criteria)
 			}
 		})
 	}
--- a/internal/edge/ingress/calls.go
+++ b/internal/edge/ingress/calls.go
@@ -12,6 +12,7 @@
 	"mimosayard/internal/backend/forward"
 	"mimosayard/internal/core/dispatch"
 	"mimosayard/internal/core/faults"
+	"mimosayard/internal/core/tables"
 	"mimosayard/platform"
 )
 
@@ -44,20 +45,31 @@
 		x.server.Dispatcher.EndCall(time.Now(), x.task, call, result)
 		x.summarizeCall(call, result, err)
 	}()
-	stopTimer := startResponseTimer(call.StartTimeout, cancel)
+	stopTimer := x.startResponseTimer(call, cancel)
 	response, sendErr := x.send(ctx, call)
 	stopTimer()
 	result, done, err = x.receive(ctx, cancel, call, response, sendErr)
 	return done, err
 }
 
-// startResponseTimer cancels a call with errResponseTimeout after the timeout,
-// unless stop is called before. A timeout of zero sets no timer.
-func startResponseTimer(timeout time.Duration, cancel context.CancelCauseFunc) (stop func()) {
-	if timeout <= 0 {
+// startResponseTimer cancels a call with errResponseTimeout after its start
+// timeout, unless stop is called before, or the dispatcher extends the timeout
+// because the upstream is busy but alive. A timeout of zero sets no timer.
+func (x *exchange) startResponseTimer(call *dispatch.Call, cancel context.CancelCauseFunc) (stop func()) {
+	if call.StartTimeout <= 0 {
 		return func() {}
 	}
-	timer := time.AfterFunc(timeout, func() { cancel(errResponseTimeout) })
+	var timer *time.Timer
+	started := make(chan struct{})
+	timer = time.AfterFunc(call.StartTimeout, func() {
+		<-started
+		if more := x.server.Dispatcher.ExtendStart(time.Now(), x.task, call); more > 0 {
+			timer.Reset(more)
+			return
+		}
+		cancel(errResponseTimeout)
+	})
+	close(started)
 	return func() { timer.Stop() }
 }
 
@@ -234,3 +246,13 @@
 	}
 	return digest.Sum64() | 1
 }
+
+// sharedPrefixTokens returns the number of tokens in the parts of
+// sharedPrefixHash.
+func sharedPrefixTokens(parts []platform.PromptPart) tables.Tokens {
+	var tokens tables.Tokens
+	for _, part := range parts[:max(0, len(parts)-1)] {
+		tokens += part.Tokens
+	}
+	return tokens
+}
--- a/internal/edge/ingress/ingress.go
+++ b/internal/edge/ingress/ingress.go
@@ -236,6 +236,7 @@
 		Session:         x.metadata.Session,
 		Model:           x.metadata.Model,
 		PromptTokens:    x.metadata.PromptTokens,
+		SharedTokens:    sharedPrefixTokens(x.metadata.PromptParts),
 		SharedPartsHash: sharedPrefixHash(x.metadata.PromptParts),
 		ArrivedAt:       x.arrived,
 		Deadline:        x.arrived.Add(timeout),
--- a/internal/edge/ingress/outcomes.go
+++ b/internal/edge/ingress/outcomes.go
@@ -69,8 +69,8 @@
 // is the start latency and "pause" the mean gap between events, both in
 // milliseconds.
 func (x *exchange) summarizeCall(call *dispatch.Call, result dispatch.Result, err error) {
-	summary := fmt.Sprintf("%s %s@%s %s wait %d pause %d work %.1f", resultNames[result], call.Upstream.ID,
-		call.Upstream.Version, call.Model, call.StartLatency().Milliseconds(), call.MeanGap().Milliseconds(), call.UpstreamWork)
+	summary := fmt.Sprintf("%s %s@%s %s wait %d expected %d pause %d work %.1f", resultNames[result], call.Upstream.ID,
+		call.Upstream.Version, call.Model, call.StartLatency().Milliseconds(), call.ExpectedStart.Milliseconds(), call.MeanGap().Milliseconds(), call.UpstreamWork)
 	if err != nil {
 		summary += " (" + err.Error() + ")"
 	}
--- a/internal/edge/ingress/streams.go
+++ b/internal/edge/ingress/streams.go
@@ -60,7 +60,7 @@
 		}
 		now := time.Now()
 		if !lastEventAt.IsZero() {
-			call.RecordEvent(now.Sub(lastEventAt))
+			call.RecordEvent(now, now.Sub(lastEventAt))
 			x.server.Metrics.RecordTokenGap(key, now.Sub(lastEventAt))
 		}
 		lastEventAt = now
--- a/internal/evaluation/loadsim/expectations.go
+++ b/internal/evaluation/loadsim/expectations.go
@@ -31,6 +31,7 @@
 	"earned":     func(r Results) float64 { return r.EarnedValue },
 	"in_time":    func(r Results) float64 { return r.InTime },
 	"lost":       func(r Results) float64 { return r.Lost },
+	"given_up":   func(r Results) float64 { return r.GivenUp },
 	"refusal_ms": func(r Results) float64 { return r.MaxRefusalMS },
 	// The fraction of served requests relative to that of all requests, for the
 	// class, team, size or data centre with the lowest.
--- a/internal/evaluation/loadsim/request.go
+++ b/internal/evaluation/loadsim/request.go
@@ -88,6 +88,7 @@
 	}
 	if len(r.parts) > 1 {
 		admission.SharedPartsHash = r.parts[len(r.parts)-2].ID | 1
+		admission.SharedTokens = tables.Tokens(r.promptTokens - r.parts[len(r.parts)-1].Tokens)
 	}
 	s.policy.editRequest(&admission)
 	task, fault := r.dispatcher.Admit(s.clock(), admission)
@@ -109,6 +110,7 @@
 		return
 	}
 	s.policy.editCall(call)
+	s.collector.recordCall()
 	r.call = call
 	r.engine = s.engineByAddress[call.Upstream.Address]
 	s.scheduler.Schedule(networkDelay, func() { r.deliver(call) })
@@ -196,7 +198,7 @@
 	now := r.simulation.scheduler.Now()
 	if r.firstEventDelay > 0 {
 		r.simulation.collector.recordGap(now - r.lastEvent)
-		call.RecordEvent(now - r.lastEvent)
+		call.RecordEvent(r.simulation.clock(), now-r.lastEvent)
 	}
 	r.lastEvent = now
 }
@@ -221,9 +223,14 @@
 	if r.isStale(call) || r.firstEventDelay > 0 {
 		return
 	}
+	if more := r.dispatcher.ExtendStart(r.simulation.clock(), r.task, call); more > 0 {
+		r.simulation.scheduler.Schedule(more, func() { r.timeOutStart(call) })
+		return
+	}
 	if r.job != nil {
 		r.engine.Cancel(r.job)
 	}
+	r.simulation.collector.recordGivenUp()
 	r.endCallAndContinue(dispatch.TimedOut)
 }
 
--- a/internal/evaluation/loadsim/results.go
+++ b/internal/evaluation/loadsim/results.go
@@ -27,6 +27,9 @@
 	// milliseconds.
 	Refusals     int     `json:"refusals"`
 	MaxRefusalMS float64 `json:"refusal_ms"`
+	// GivenUp is the fraction of the calls that the router ended because their
+	// answers did not start in time.
+	GivenUp float64 `json:"given_up"`
 	// FirstEventMS is the time from arrival to the first event of a served
 	// request, and GapMS the time between two events.
 	FirstEventMS Quantiles `json:"first_ms"`
@@ -63,6 +66,8 @@
 	firstEvent      *hdrhistogram.Histogram
 	gaps            *hdrhistogram.Histogram
 	refusals        int
+	calls           int
+	givenUp         int
 	maxRefusalDelay time.Duration
 	offeredValue    float64
 	earnedValue     float64
@@ -97,6 +102,14 @@
 	_ = c.gaps.RecordValue(max(1, gap.Microseconds()))
 }
 
+func (c *collector) recordCall() {
+	c.calls++
+}
+
+func (c *collector) recordGivenUp() {
+	c.givenUp++
+}
+
 func (c *collector) recordRefusal(after time.Duration) {
 	c.refusals++
 	c.maxRefusalDelay = max(c.maxRefusalDelay, after)
@@ -145,6 +158,7 @@
 		NetValue:      (c.earnedValue - c.modelCost) / c.offeredValue,
 		EarnedValue:   c.earnedValue / c.offeredValue,
 		ModelCost:     c.modelCost / c.offeredValue,
+		GivenUp:       float64(c.givenUp) / float64(max(1, c.calls)),
 		Refusals:      c.refusals,
 		MaxRefusalMS:  float64(c.maxRefusalDelay.Microseconds()) / 1000,
 		FirstEventMS:  Quantiles(latencies.QuantilesOf(c.firstEvent)),
--- a/internal/evaluation/loadsim/simulation.go
+++ b/internal/evaluation/loadsim/simulation.go
@@ -185,7 +185,7 @@
 func (s *simulation) exchangeTotals() {
 	totals := aggregates.Sum(s.contributions)
 	for n, d := range s.instances {
-		d.ApplyTotals(totals, s.contributions[n])
+		d.ApplyTotals(s.clock(), totals, s.contributions[n])
 		s.contributions[n] = d.Contribution(s.clock())
 	}
 	if s.scheduler.Now() < seconds(s.load.DurationSeconds)+drainTime {
--- a/internal/instance/entry/tasks.go
+++ b/internal/instance/entry/tasks.go
@@ -151,9 +151,9 @@
 
 // applyTotals applies the fleet's totals, of which reported is the part of this
 // instance, and logs the versions that they show to be bad.
-func (i *Instance) applyTotals(_ time.Time, totals, reported aggregates.Values) {
+func (i *Instance) applyTotals(now time.Time, totals, reported aggregates.Values) {
 	i.dispatcher.SetInstances(len(i.node.Members()))
-	for _, v := range i.dispatcher.ApplyTotals(totals, reported) {
+	for _, v := range i.dispatcher.ApplyTotals(now, totals, reported) {
 		events.VersionJudgedBad.Log(i.log,
 			zap.String("service", string(v.Service)), zap.String("version", string(v.Version)),
 			zap.String("route", string(v.Class)), zap.String("reason", string(v.Reason)),
