Tell peers of up to 256 changed upstream loads in a message

Cause: with 140 upstreams the sums held back most loads.

Change: maxMessageValues from 16 to 256, about 4 kB in a message.

On sites of 9 machines a message had room before.

--- a/internal/instance/entry/entry.go
+++ b/internal/instance/entry/entry.go
@@ -84,9 +84,8 @@
 	// to other instances.
 	acceptWindowShare = 0.5
 	// maxMessageValues is the maximum number of changed upstream loads in a
-	// message to a peer. A fleet of the present size changes about thirty
-	// between two messages.
-	maxMessageValues = 16
+	// message to a peer. They take about 4 kB.
+	maxMessageValues = 256
 	// storeDialTimeout is the timeout for connecting to the store.
 	storeDialTimeout = time.Second
 )
