Take changes of upstreams from peers while waiting for more of them

A watch went on from the instance's own last answer, so that it returned at once with changes that a peer had told of.

Tests: TestBatchDelay (a watch from 20 instead of 10) fails on the code before.

--- a/internal/instance/entry/tasks.go
+++ b/internal/instance/entry/tasks.go
@@ -28,7 +28,10 @@
 	// upstreamBatchDelay and upstreamRenewalFactor reduce the store calls for
 	// upstreams, which change most often. Their changes may take effect late,
 	// since an upstream that is leaving serves for two more seconds.
-	upstreamBatchDelay    = 600 * time.Millisecond
+	upstreamBatchDelay = 600 * time.Millisecond
+	// followerBatchShare is the share of the drain time of upstreams for which
+	// most instances wait for more changes.
+	followerBatchShare    = 0.4
 	upstreamRenewalFactor = 2
 	// rolloutRenewalFactor lengthens the renewal interval of the watch for
 	// rollouts. A change that the watch missed only delays the start of a
@@ -48,6 +51,7 @@
 	i.config = i.newCache(platform.KindConfig, i.applyConfig)
 	i.upstreams = i.newCache(platform.KindServers, i.applyUpstreams)
 	i.upstreams.BatchDelay = upstreamBatchDelay
+	i.upstreams.FollowerBatchDelay = time.Duration(followerBatchShare * float64(i.settings.Shared.UpstreamDrain()))
 	i.upstreams.RenewalFactor = upstreamRenewalFactor
 	i.rollouts = i.newCache(platform.KindRollouts, i.applyRollouts)
 	i.rollouts.RenewalFactor = rolloutRenewalFactor
@@ -295,6 +299,7 @@
 		{"log_level", i.settings.LogLevel, reloaded.LogLevel},
 		{"shared_platform.store_address", i.settings.Shared.StoreAddress, reloaded.Shared.StoreAddress},
 		{"shared_platform.ready_address", i.settings.Shared.ReadyAddress, reloaded.Shared.ReadyAddress},
+		{"shared_platform.upstream_drain_ms", i.settings.Shared.UpstreamDrain().String(), reloaded.Shared.UpstreamDrain().String()},
 	} {
 		if f.current != f.reloaded {
 			fields = append(fields, f.name)
--- a/internal/instance/settings/shared.go
+++ b/internal/instance/settings/shared.go
@@ -17,6 +17,9 @@
 	MemoryMB int64 `json:"memory_mb,omitempty"`
 	// StopGrace is the time from the signal to stop until the process is killed.
 	StopGrace Seconds `json:"grace_s,omitempty"`
+	// UpstreamDrainMS is the time in milliseconds for which an upstream that is
+	// leaving still takes requests.
+	UpstreamDrainMS float64 `json:"upstream_drain_ms,omitempty"`
 	// SessionTTL is how long a session lasts after the end of its last request.
 	SessionTTL Seconds `json:"session_s,omitempty"`
 	// RetryRatio and RetrySlack limit the retries of all instances for a service
@@ -36,6 +39,7 @@
 const (
 	defaultGrace       Seconds = 8
 	defaultSession     Seconds = 5
+	defaultDrainMS             = 2000.0
 	defaultRetryRatio          = 0.2
 	defaultRetrySlack          = 20
 	defaultRetryWindow Seconds = 10
@@ -54,8 +58,15 @@
 	return []byte("fleet at " + p.StoreAddress)
 }
 
+// UpstreamDrain returns the time for which an upstream that is leaving still
+// takes requests.
+func (p *SharedPlatform) UpstreamDrain() time.Duration {
+	return time.Duration(p.UpstreamDrainMS * float64(time.Millisecond))
+}
+
 func (p *SharedPlatform) setDefaults() {
 	setDefault(&p.StopGrace, defaultGrace)
+	setDefault(&p.UpstreamDrainMS, defaultDrainMS)
 	setDefault(&p.SessionTTL, defaultSession)
 	setDefault(&p.RetryRatio, defaultRetryRatio)
 	setDefault(&p.RetrySlack, defaultRetrySlack)
@@ -83,6 +94,9 @@
 			add(s.field, "is %v; want more than 0 and at most %v seconds", s.value, maxDuration.Seconds())
 		}
 	}
+	if p.UpstreamDrainMS <= 0 || p.UpstreamDrain() > maxDuration {
+		add("shared_platform.upstream_drain_ms", "is %v; want more than 0 and at most %v", p.UpstreamDrainMS, maxDuration.Milliseconds())
+	}
 	if p.RetryRatio < 0 || p.RetrySlack < 0 {
 		add("shared_platform.retry_ratio", "and retry_slack are not negative")
 	}
--- a/internal/instance/storecache/storecache.go
+++ b/internal/instance/storecache/storecache.go
@@ -43,6 +43,10 @@
 	// changes in quick succession cost one call. It must be short compared to
 	// the time in which a change has to take effect. Zero means the default.
 	BatchDelay time.Duration
+	// FollowerBatchDelay is the BatchDelay of instances after the first few in
+	// the fleet, which get most changes from their peers. It is used if it is
+	// longer than BatchDelay.
+	FollowerBatchDelay time.Duration
 	// RenewalFactor multiplies the renewal interval of watches, for a kind
 	// whose changes may take effect later. Values below one mean one.
 	RenewalFactor int
@@ -57,6 +61,8 @@
 	mutex   sync.Mutex
 	objects map[string]platform.Object
 	version peers.DocumentVersion
+	// peerRevision is the highest revision of the snapshots applied from peers.
+	peerRevision platform.Revision
 	// hasState is true once the objects are known from the store or a peer.
 	hasState bool
 	// storeDown is true while calls to the store fail.
@@ -79,6 +85,9 @@
 	// defaultBatchDelay is the delay between a change and the next watch if
 	// BatchDelay is zero.
 	defaultBatchDelay = 250 * time.Millisecond
+	// batchLeaders is the number of instances that watch without
+	// FollowerBatchDelay.
+	batchLeaders = 4
 	// longPollThreshold is the duration above which a call counts as one that
 	// waited for a change.
 	longPollThreshold = 200 * time.Millisecond
@@ -145,6 +154,7 @@
 	newer := !c.hasState || version.Revision > c.version.Revision
 	if newer {
 		c.replaceObjects(objects, version.Revision)
+		c.peerRevision = platform.Revision(version.Revision)
 	}
 	c.mutex.Unlock()
 	if newer {
@@ -166,6 +176,7 @@
 		c.applyList(objects, revision, c.changeAge(started))
 		return nil
 	}
+	c.skipToPeers()
 	wait := c.watchWait(started)
 	changes, revision, err := c.Store.Watch(ctx, c.Kind, c.watchRevision, wait)
 	if err != nil {
@@ -177,11 +188,28 @@
 	}
 	c.watchRevision = max(c.watchRevision, revision)
 	if c.applyChanges(changes, revision, c.changeAge(started)) {
-		delay.Sleep(ctx, cmp.Or(c.BatchDelay, defaultBatchDelay))
+		delay.Sleep(ctx, c.batchDelay())
 	}
 	return nil
 }
 
+// skipToPeers continues the watch after the changes that a peer has told of, so
+// that the store need not be called for them again.
+func (c *Cache) skipToPeers() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.watchRevision = max(c.watchRevision, c.peerRevision)
+}
+
+// batchDelay returns the delay between a change and the next watch.
+func (c *Cache) batchDelay() time.Duration {
+	batchDelay := cmp.Or(c.BatchDelay, defaultBatchDelay)
+	if position, _ := c.FleetPosition(); position >= batchLeaders {
+		return max(batchDelay, c.FollowerBatchDelay)
+	}
+	return batchDelay
+}
+
 // changeAge returns the longest time for which the store may already have had
 // the changes that a call returned: the time between the last response and the
 // start of the call, or zero if the call waited for the changes.
--- a/internal/instance/storecache/storecache_test.go
+++ b/internal/instance/storecache/storecache_test.go
@@ -25,6 +25,8 @@
 	watches []string
 	// listed receives a value for each list, if it is not nil.
 	listed chan struct{}
+	// watched receives the revision of each watch, if it is not nil.
+	watched chan string
 }
 
 func (f *fakeStore) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -37,6 +39,9 @@
 		_, _ = w.Write([]byte(f.list))
 		return
 	}
+	if f.watched != nil {
+		f.watched <- r.URL.Query().Get("watch")
+	}
 	if len(f.watches) == 0 {
 		// There are no more changes, so the watch does not return.
 		f.mutex.Unlock()
@@ -189,6 +194,44 @@
 	})
 }
 
+// TestBatchDelay guards against a store call of each instance for each change of
+// a burst: while an instance waits for more changes, its peers tell it of them,
+// and its next watch begins after those.
+func TestBatchDelay(t *testing.T) {
+	t.Run("a watch begins after the changes that a peer has told of", func(t *testing.T) {
+		is := is.New(t)
+		store := &fakeStore{
+			list:    `{"items":[` + itemJSON("a", "3") + `],"as_of":9}`,
+			watches: []string{`{"events":[{"object":` + itemJSON("b", "10") + `}],"as_of":10}`},
+			watched: make(chan string, 8),
+		}
+		_, c := awaitChanges(t, store, 2)
+		is.True(c.ApplySnapshot(peers.DocumentVersion{Revision: 20, Digest: 1}, []byte("[]")))
+		is.Equal(<-store.watched, "9")
+		is.Equal(<-store.watched, "20")
+	})
+	t.Run("an older snapshot of a peer does not set the watch back", func(t *testing.T) {
+		is := is.New(t)
+		store := &fakeStore{
+			list:    `{"items":[` + itemJSON("a", "3") + `],"as_of":9}`,
+			watches: []string{`{"events":[{"object":` + itemJSON("b", "10") + `}],"as_of":10}`},
+			watched: make(chan string, 8),
+		}
+		_, c := awaitChanges(t, store, 2)
+		is.True(!c.ApplySnapshot(peers.DocumentVersion{Revision: 7, Digest: 1}, []byte("[]")))
+		is.Equal(<-store.watched, "9")
+		is.Equal(<-store.watched, "10")
+	})
+	t.Run("instances after the first few wait longer for more changes", func(t *testing.T) {
+		is := is.New(t)
+		c := newCache(nil, nil)
+		c.BatchDelay, c.FollowerBatchDelay = 600*time.Millisecond, time.Second
+		is.Equal(c.batchDelay(), 600*time.Millisecond)
+		c.FleetPosition = func() (int, int) { return batchLeaders, 9 }
+		is.Equal(c.batchDelay(), time.Second)
+	})
+}
+
 // TestWatchWait guards against slots in which no instance renews its watch. A
 // change that all watches missed is found in the next slot of an instance that
 // can reach the store.
