Call the parent among the peers each 200 ms on the shared platform

Cause: loads of upstreams are summed along a tree, each level of which added up to half a second each way.

Change: peers.Node gets CallInterval; instances on a shared platform set 200 ms. The product's own interface keeps 500 ms.

--- a/internal/fleet/peers/node.go
+++ b/internal/fleet/peers/node.go
@@ -10,6 +10,7 @@
 package peers
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"net"
@@ -59,6 +60,9 @@
 
 	// Documents are the documents that instances replicate as a whole.
 	Documents Documents
+	// CallInterval is the time between two calls to the parent. Zero means
+	// ParentCallInterval.
+	CallInterval time.Duration
 	// InexactValueLimit is the maximum number of inexact values in one message.
 	// Zero means defaultInexactValueLimit.
 	InexactValueLimit int
@@ -143,7 +147,8 @@
 )
 
 const (
-	// ParentCallInterval is the time between two calls to the parent.
+	// ParentCallInterval is the time between two calls to the parent if
+	// Node.CallInterval is zero.
 	ParentCallInterval = 500 * time.Millisecond
 	// gossipInterval is the mean time between two calls to random members.
 	gossipInterval = 3 * time.Second
@@ -341,7 +346,7 @@
 // parentLoop calls the parent on every tick and on CallParentNow until the
 // context is done.
 func (n *Node) parentLoop(ctx context.Context) error {
-	ticker := time.NewTicker(ParentCallInterval)
+	ticker := time.NewTicker(cmp.Or(n.CallInterval, ParentCallInterval))
 	defer ticker.Stop()
 	for {
 		select {
--- a/internal/instance/entry/entry.go
+++ b/internal/instance/entry/entry.go
@@ -86,6 +86,10 @@
 	// maxMessageValues is the maximum number of changed upstream loads in a
 	// message to a peer. They take about 4 kB.
 	maxMessageValues = 256
+	// peerCallInterval is the time between two messages to the parent among the
+	// peers. Upstreams read most prompts in less than a second, so older loads
+	// tell little, and each level of the tree adds an interval.
+	peerCallInterval = 200 * time.Millisecond
 	// storeDialTimeout is the timeout for connecting to the store.
 	storeDialTimeout = time.Second
 )
@@ -240,6 +244,7 @@
 		Seeds:             func() []string { return *i.seeds.Load() },
 		LocalValues:       i.dispatcher.Contribution,
 		OnTotals:          i.applyTotals,
+		CallInterval:      peerCallInterval,
 		InexactValueLimit: maxMessageValues,
 		Documents: peers.Documents{
 			Versions: i.documentVersions,
