Call the parent each 100 ms, with up to 128 changed loads

Change: peerCallInterval from 200 to 100 ms, maxMessageValues from 256 to 128, so that a message stays as short as the interval.

--- a/internal/instance/entry/entry.go
+++ b/internal/instance/entry/entry.go
@@ -84,12 +84,12 @@
 	// to other instances.
 	acceptWindowShare = 0.5
 	// maxMessageValues is the maximum number of changed upstream loads in a
-	// message to a peer. They take about 4 kB.
-	maxMessageValues = 256
+	// message to a peer. They take about 2 kB.
+	maxMessageValues = 128
 	// peerCallInterval is the time between two messages to the parent among the
 	// peers. Upstreams read most prompts in less than a second, so older loads
 	// tell little, and each level of the tree adds an interval.
-	peerCallInterval = 200 * time.Millisecond
+	peerCallInterval = 100 * time.Millisecond
 	// storeDialTimeout is the timeout for connecting to the store.
 	storeDialTimeout = time.Second
 )
