Fetch cached parts only where that saves a reading of 3% of the target

Change: a call names a cache source only if the expected reading of the shared parts is at least 3% of the route's target, the same wait that a request accepts to stay in its data centre.

TestFetchGain fails on the code before.

--- a/internal/core/dispatch/dispatch_test.go
+++ b/internal/core/dispatch/dispatch_test.go
@@ -339,6 +339,7 @@
 	}
 	d := newDispatcher(entries...)
 	route := newRoute(catalog.Streaming)
+	route.Models = route.Models[1:]
 	cacheHolders, fetchers, sources := map[string]int{}, map[tables.UpstreamID]int{}, map[string]int{}
 	for i := range 200 {
 		call := mustNextCall(t, d, mustAdmit(t, d, route, strconv.Itoa(i)))
@@ -357,6 +358,28 @@
 	}
 }
 
+// TestFetchGain guards against moving cached parts that an upstream reads as soon
+// as it has fetched them: only long readings are worth the bytes.
+func TestFetchGain(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		shared  tables.Tokens
+		fetches bool
+	}{
+		{"long shared parts are fetched", 6000, true},
+		{"short shared parts are read again", 200, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			d := newDispatcher(newUpstreams("v1", 3)...)
+			route := newRoute(catalog.Streaming)
+			route.Models = route.Models[1:]
+			task := mustAdmit(t, d, route, "a")
+			task.Request.PromptTokens, task.Request.SharedTokens = c.shared+500, c.shared
+			is.New(t).Equal(mustNextCall(t, d, task).CacheSource != "", c.fetches)
+		})
+	}
+}
+
 // TestWorkAfterStart checks that an upstream has less work in flight once it
 // has read a prompt. Otherwise new calls would avoid upstreams that could take
 // them.
--- a/internal/core/dispatch/models.go
+++ b/internal/core/dispatch/models.go
@@ -43,6 +43,9 @@
 	// remotePenaltyFraction is the longer wait that a request accepts to stay in
 	// its data centre, as a fraction of the route's target.
 	remotePenaltyFraction = 0.03
+	// fetchGainFraction is the least reading time that a fetch must save, as a
+	// fraction of the route's target.
+	fetchGainFraction = 0.03
 	// minMoveCost is the least gain for which a prompt leaves the upstream that it
 	// would otherwise go to.
 	minMoveCost = 20
--- a/internal/core/dispatch/task.go
+++ b/internal/core/dispatch/task.go
@@ -182,7 +182,7 @@
 		}
 	}
 	call.StartTimeout = d.startTimeout(task, call, remaining)
-	if source != nil {
+	if source != nil && d.fetchPays(task) {
 		call.CacheSource = source.Address
 	}
 	u.AddWork(call.work)
@@ -190,6 +190,13 @@
 	return call, nil
 }
 
+// fetchPays reports whether the reading that a fetch of the prompt's shared parts
+// may save is worth the bytes that it moves between upstreams.
+func (d *Dispatcher) fetchPays(task *Task) bool {
+	saved := d.estimator(task, task.runModel()).MoveCost(task.prompt())
+	return saved >= forecast.NewMilliseconds(task.latencyTarget())*fetchGainFraction
+}
+
 // StartAnswer records the start of an answer with the confidence that it
 // reports, -1 for none, and reports whether the answer is accepted. If it is not,
 // the task continues with a larger model, and the caller must end the call as
