Measure the waits for a start against the expected ones

Cause: whether decisions rest on good forecasts could be told from the log only.

Change: a histogram by route of the wait seen over the wait expected.

Measured: TestPageKeepsTeamNamesDistinct finds it on the page, without an entry for a call that expects none; it fails on the code before.

--- a/internal/edge/ingress/calls.go
+++ b/internal/edge/ingress/calls.go
@@ -117,7 +117,7 @@
 		return dispatch.Failed, false, faults.New(faults.AnswerIncomplete, "the stream could not be resumed")
 	case response.Status >= http.StatusMultipleChoices:
 		return x.receiveFailure(ctx, response)
-	case !x.server.Dispatcher.StartAnswer(time.Now(), x.task, call, x.escalationConfidence(meta)):
+	case !x.startAnswer(call, meta):
 		cancel(nil)
 		return dispatch.Abandoned, false, faults.New(faults.UpstreamFailed, "a larger model is asked")
 	case meta.Stream:
@@ -130,6 +130,14 @@
 	return dispatch.Served, true, x.writeBuffered(buffered)
 }
 
+// startAnswer records the start of a successful response, and reports whether it
+// is relayed. Otherwise a larger model is asked.
+func (x *exchange) startAnswer(call *dispatch.Call, meta platform.ResponseMetadata) bool {
+	accepted := x.server.Dispatcher.StartAnswer(time.Now(), x.task, call, x.escalationConfidence(meta))
+	x.server.Metrics.RecordStart(x.routeKey(), call.ExpectedStart, call.StartLatency())
+	return accepted
+}
+
 // escalationConfidence returns the confidence by which the dispatcher decides
 // whether to escalate to a larger model. It is -1 if the caller already has a
 // part of the response, which can then no longer be dropped.
--- a/internal/telemetry/metrics/metrics.go
+++ b/internal/telemetry/metrics/metrics.go
@@ -38,6 +38,7 @@
 	totals      tally.Histogram
 	firstTokens tally.Histogram
 	costs       tally.Histogram
+	startRatios tally.Histogram
 }
 
 // A Sample holds the measurements of a finished request.
@@ -62,6 +63,7 @@
 var (
 	// costBuckets are in millionths of the billing unit, as tables.MicroCost.
 	costBuckets  = tally.MustMakeExponentialValueBuckets(1, 4, 14)
+	ratioBuckets = tally.MustMakeExponentialValueBuckets(0.1, 1.5, 14)
 	gapBuckets   = tally.MustMakeExponentialDurationBuckets(time.Millisecond, 1.6, 16)
 	totalBuckets = tally.MustMakeExponentialDurationBuckets(5*time.Millisecond, 1.7, 18)
 )
@@ -106,6 +108,16 @@
 	r.metricsOf(route).tokenGaps.RecordDuration(gap)
 }
 
+// RecordStart records the wait for the start of an upstream's answer and the
+// wait that was expected, as their ratio. An expected wait of zero is not
+// recorded.
+func (r *Recorder) RecordStart(route tables.RouteKey, expected, seen time.Duration) {
+	if r == nil || r.scope == nil || expected <= 0 {
+		return
+	}
+	r.metricsOf(route).startRatios.RecordValue(float64(seen) / float64(expected))
+}
+
 // SetGauge sets a metric of the instance, which has no route.
 func (r *Recorder) SetGauge(name string, value float64) {
 	if r == nil || r.scope == nil {
@@ -165,6 +177,7 @@
 		totals:      scope.Histogram("total", totalBuckets),
 		firstTokens: scope.Histogram("first_token", totalBuckets),
 		costs:       scope.Histogram("cost_micros", costBuckets),
+		startRatios: scope.Histogram("start_seen_by_expected", ratioBuckets),
 	}
 	r.routes.Store(key, route)
 	return route
--- a/internal/telemetry/metrics/metrics_test.go
+++ b/internal/telemetry/metrics/metrics_test.go
@@ -24,6 +24,8 @@
 		r.RecordRequest(Sample{Route: route, Total: time.Second, FirstToken: time.Millisecond, Cost: 5})
 		r.RecordRequest(Sample{Route: route, Fault: faults.New(faults.Overloaded, "")})
 		r.RecordTokenGap(route, time.Millisecond)
+		r.RecordStart(route, time.Second, 2*time.Second)
+		r.RecordStart(route, 0, time.Second)
 	}
 	is.NoErr(r.Close())
 	page := httptest.NewRecorder()
@@ -35,6 +37,7 @@
 		"mimosayard_between_tokens_bucket",
 		"mimosayard_first_token_bucket",
 		"mimosayard_cost_micros_bucket",
+		`mimosayard_start_seen_by_expected_count{class="c",data_center="d",instance_id="i",service="s",team="xưởng-a"} 1`,
 	} {
 		is.True(strings.Contains(page.Body.String(), want))
 	}
@@ -46,6 +49,7 @@
 	var r Recorder
 	r.RecordRequest(Sample{})
 	r.RecordTokenGap(tables.RouteKey{}, time.Second)
+	r.RecordStart(tables.RouteKey{}, time.Second, time.Second)
 	r.SetGauge("x", 1)
 	is.New(t).NoErr(r.Close())
 }
