Spread prompts that share nothing over the upstreams

Cause: their score had the key zero, the same for all of them, so that within the least gain for a move all instances preferred the same upstream.

Change: such a prompt gets a random key for its score and no cache holder.

--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -299,10 +299,15 @@
 func (c *Chooser) chooseByWait(key uint64, dataCenter tables.DataCenterID, wait *PromptWait) (chosen, cacheHolder, source *Upstream) {
 	c.scores, c.waits = c.scores[:0], c.waits[:0]
 	local := xxhash.Sum64String(string(dataCenter))
+	scoreKey := key
+	if key == 0 {
+		// Prompts that share nothing are spread over the upstreams.
+		scoreKey = c.Random.Uint64()
+	}
 	holder, runnerUp := -1, -1
 	shortest := forecast.Milliseconds(math.Inf(1))
 	for i, u := range c.candidates {
-		score, expected := u.Score(key), wait.Elsewhere.At(forecast.Milliseconds(u.Work()))
+		score, expected := u.Score(scoreKey), wait.Elsewhere.At(forecast.Milliseconds(u.Work()))
 		if u.dataCenterHash != local {
 			expected += wait.RemotePenalty
 		}
--- a/internal/core/placement/placement_test.go
+++ b/internal/core/placement/placement_test.go
@@ -91,6 +91,17 @@
 		first.AddWork(2000)
 		is.Equal(choose(upstreams, promptCriteria(7)), source)
 	})
+	t.Run("prompts that share nothing spread over idle upstreams", func(t *testing.T) {
+		is := is.New(t)
+		upstreams, c, seen := newUpstreams(9), newChooser(), map[tables.UpstreamID]bool{}
+		for range 200 {
+			u, cacheHolder, source := c.Choose(now, upstreams, promptCriteria(0))
+			is.Equal(cacheHolder, nil)
+			is.Equal(source, nil)
+			seen[u.ID] = true
+		}
+		is.Equal(len(seen), 9)
+	})
 	t.Run("prompts stay in their data centre if the wait there is about as short", func(t *testing.T) {
 		is := is.New(t)
 		upstreams := newUpstreams(6)
