--- a/internal/core/dispatch/task.go
+++ b/internal/core/dispatch/task.go
@@ -73,7 +73,8 @@
 	ExpectedStart time.Duration
 
 	upstream *placement.Upstream
-	urgency  int
+	// urgency is the value of Urgency.
+	urgency int
 	// place is the relation of the upstream to the shared parts of the prompt.
 	place forecast.Place
 	// backlog is the upstream's work that is done before the call's.
@@ -190,13 +191,6 @@
 	return call, nil
 }
 
-// fetchPays reports whether the reading that a fetch of the prompt's shared parts
-// may save is worth the bytes that it moves between upstreams.
-func (d *Dispatcher) fetchPays(task *Task) bool {
-	saved := d.estimator(task, task.runModel()).MoveCost(task.prompt())
-	return saved >= forecast.NewMilliseconds(task.latencyTarget())*fetchGainFraction
-}
-
 // StartAnswer records the start of an answer with the confidence that it
 // reports, -1 for none, and reports whether the answer is accepted. If it is not,
 // the task continues with a larger model, and the caller must end the call as
--- a/internal/core/forecast/forecast.go
+++ b/internal/core/forecast/forecast.go
@@ -142,9 +142,9 @@
 	return Milliseconds(dot(e.coefficients, x))
 }
 
-// MoveCost returns the expected time that an engine needs to read the shared
-// tokens of the prompt, which a call at the cache holder may save.
-func (e *Estimator) MoveCost(p Prompt) Milliseconds {
+// SharedReadTime returns the expected time that an engine needs to read the
+// shared tokens of the prompt if it has none of them in its cache.
+func (e *Estimator) SharedReadTime(p Prompt) Milliseconds {
 	return Milliseconds(e.coefficients[ownTokens] * thousands(p.Shared))
 }
 
