Wait for an engine at least twice as long as the reading it has in flight

Change: the start timeout of a prompt is at least twice the work in flight.

The new subtest of TestStartTimeout fails on the code before.

--- a/internal/core/dispatch/dispatch_test.go
+++ b/internal/core/dispatch/dispatch_test.go
@@ -446,6 +446,13 @@
 		fresh := newDispatcher(newUpstreams("v1", 1)...)
 		is.True(queued.ExpectedStart > mustNextCall(t, fresh, mustAdmit(t, fresh, route, "c")).ExpectedStart)
 	})
+	t.Run("an engine that reads for other instances gets the time for that", func(t *testing.T) {
+		d := newDispatcher(newUpstreams("v1", 1)...)
+		const othersWork = 4000
+		d.services["llm"].upstreams[0].OthersWork = othersWork
+		call := mustNextCall(t, d, mustAdmit(t, d, route, "a"))
+		is.New(t).True(call.StartTimeout >= othersWork*time.Millisecond)
+	})
 	t.Run("a plain call is not extended", func(t *testing.T) {
 		is := is.New(t)
 		d := newDispatcher(newUpstreams("v1", 3)...)
--- a/internal/core/dispatch/models.go
+++ b/internal/core/dispatch/models.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"mimosayard/internal/core/catalog"
+	"mimosayard/internal/core/forecast"
 	"mimosayard/internal/core/tables"
 )
 
@@ -19,6 +20,9 @@
 	// earlyTargetFraction is the fraction of the target up to which the
 	// expected wait does not lower the threshold.
 	earlyTargetFraction = 0.3
+	// backlogTimeoutFactor bounds the wait from below as a multiple of the
+	// reading that the upstream has in flight.
+	backlogTimeoutFactor = 2
 	// startTimeoutFactor bounds the wait for the start of an answer as a
 	// multiple of the expected wait. minStartTimeout is the shortest bound.
 	startTimeoutFactor = 6
@@ -78,6 +82,10 @@
 		return 0
 	}
 	timeout := max(minStartTimeout, startTimeoutFactor*call.ExpectedStart)
+	if task.readsPrompt() {
+		// An engine that reads a long prompt sends nothing to others either.
+		timeout = max(timeout, backlogTimeoutFactor*forecast.Milliseconds(call.UpstreamWork).Duration())
+	}
 	if route.LatencyTarget > 0 && route.Kind == catalog.Safe {
 		timeout = min(timeout, 3*route.LatencyTarget)
 	}
