Make the store of two batch tests once

Change: newChangedStore in TestBatchDelay; assertions as before. Measured: the package's tests pass.

--- a/internal/instance/storecache/storecache_test.go
+++ b/internal/instance/storecache/storecache_test.go
@@ -198,13 +198,16 @@
 // a burst: while an instance waits for more changes, its peers tell it of them,
 // and its next watch begins after those.
 func TestBatchDelay(t *testing.T) {
-	t.Run("a watch begins after the changes that a peer has told of", func(t *testing.T) {
-		is := is.New(t)
-		store := &fakeStore{
+	newChangedStore := func() *fakeStore {
+		return &fakeStore{
 			list:    `{"items":[` + itemJSON("a", "3") + `],"as_of":9}`,
 			watches: []string{`{"events":[{"object":` + itemJSON("b", "10") + `}],"as_of":10}`},
 			watched: make(chan string, 8),
 		}
+	}
+	t.Run("a watch begins after the changes that a peer has told of", func(t *testing.T) {
+		is := is.New(t)
+		store := newChangedStore()
 		_, c := awaitChanges(t, store, 2)
 		is.True(c.ApplySnapshot(peers.DocumentVersion{Revision: 20, Digest: 1}, []byte("[]")))
 		is.Equal(<-store.watched, "9")
@@ -212,11 +215,7 @@
 	})
 	t.Run("an older snapshot of a peer does not set the watch back", func(t *testing.T) {
 		is := is.New(t)
-		store := &fakeStore{
-			list:    `{"items":[` + itemJSON("a", "3") + `],"as_of":9}`,
-			watches: []string{`{"events":[{"object":` + itemJSON("b", "10") + `}],"as_of":10}`},
-			watched: make(chan string, 8),
-		}
+		store := newChangedStore()
 		_, c := awaitChanges(t, store, 2)
 		is.True(!c.ApplySnapshot(peers.DocumentVersion{Revision: 7, Digest: 1}, []byte("[]")))
 		is.Equal(<-store.watched, "9")
