Log why a call reached no upstream

Cause: the entry of a failed request says only "unreached", so that refused connections can't be told from those that hang.

--- a/internal/backend/forward/forward.go
+++ b/internal/backend/forward/forward.go
@@ -12,6 +12,7 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
@@ -54,18 +55,26 @@
 // established. The upstream cannot have received any of it.
 var ErrNotConnected = errors.New("could not connect to upstream")
 
+// Bounds of a call.
 const (
-	// connectTimeout is several times the round-trip time within a region. It
+	// ConnectTimeout is several times the round-trip time within a region. It
 	// is shorter than the one second after which TCP retransmits a lost SYN.
-	connectTimeout = 400 * time.Millisecond
+	ConnectTimeout = 400 * time.Millisecond
 	// maxHeaderBytes bounds the header of a response.
 	maxHeaderBytes = 64 << 10
 )
 
-// New returns a client that is ready for use.
-func New() *Client {
+// A DialFunc connects to the address of an upstream.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// New returns a client that connects with dial, or with its own dialer if dial is
+// nil.
+func New(dial DialFunc) *Client {
+	if dial == nil {
+		dial = sockets.Dialer(ConnectTimeout).DialContext
+	}
 	return &Client{transport: &http.Transport{
-		DialContext:            sockets.Dialer(connectTimeout).DialContext,
+		DialContext:            dial,
 		DisableCompression:     true,
 		DisableKeepAlives:      true,
 		MaxResponseHeaderBytes: maxHeaderBytes,
--- a/internal/edge/ingress/calls.go
+++ b/internal/edge/ingress/calls.go
@@ -5,7 +5,9 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
+	"syscall"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -189,7 +191,7 @@
 	case x.request.Context().Err() != nil:
 		return dispatch.Abandoned, true, errCallerDisconnected
 	case errors.Is(err, forward.ErrNotConnected) && ctx.Err() == nil:
-		return dispatch.Unreachable, false, faults.NotRun(faults.UpstreamFailed, "the upstream could not be reached")
+		return dispatch.Unreachable, false, faults.NotRun(faults.UpstreamFailed, "the upstream could not be reached: "+connectFailure(err))
 	case errors.Is(context.Cause(ctx), errResponseTimeout), errors.Is(context.Cause(ctx), errStreamIdle):
 		return dispatch.TimedOut, false, faults.New(faults.UpstreamTimeout, context.Cause(ctx).Error())
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
@@ -198,6 +200,18 @@
 	return dispatch.Broken, false, faults.New(faults.AnswerIncomplete, "")
 }
 
+// connectFailure returns why no connection was established, for the log.
+func connectFailure(err error) string {
+	var network net.Error
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return "connection refused"
+	case errors.As(err, &network) && network.Timeout():
+		return "connection timed out"
+	}
+	return "no connection"
+}
+
 // writeBuffered writes a buffered response to the caller.
 func (x *exchange) writeBuffered(response *bufferedResponse) error {
 	x.timeToFirstWrite = time.Since(x.arrived)
--- a/internal/edge/ingress/ingress_test.go
+++ b/internal/edge/ingress/ingress_test.go
@@ -10,9 +10,11 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strconv"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -81,7 +83,7 @@
 	dispatcher.SetUpstreams(time.Now(), entries)
 	ti.server = &Server{
 		Dispatcher:     dispatcher,
-		UpstreamClient: forward.New(),
+		UpstreamClient: forward.New(nil),
 		Log:            zap.NewNop(),
 		SinceShutdown:  func() time.Duration { return 0 },
 		AcceptWindow:   4 * time.Second,
@@ -515,3 +517,17 @@
 		is.Equal(ti.runs.Load(), int64(2))
 	})
 }
+
+// TestConnectFailureIsNamed guards against a log that does not tell refused
+// connections from those that timed out.
+func TestConnectFailureIsNamed(t *testing.T) {
+	for want, err := range map[string]error{
+		"connection refused":   &net.OpError{Op: "dial", Err: os.NewSyscallError("connect", syscall.ECONNREFUSED)},
+		"connection timed out": &net.OpError{Op: "dial", Err: os.ErrDeadlineExceeded},
+		"no connection":        errors.New("other"),
+	} {
+		t.Run(want, func(t *testing.T) {
+			is.New(t).Equal(connectFailure(errors.Join(forward.ErrNotConnected, err)), want)
+		})
+	}
+}
--- a/internal/instance/entry/entry.go
+++ b/internal/instance/entry/entry.go
@@ -123,7 +123,7 @@
 	i.node = i.newNode(i.started)
 	i.ingress = &ingress.Server{
 		Dispatcher:     i.dispatcher,
-		UpstreamClient: forward.New(),
+		UpstreamClient: forward.New(nil),
 		Metrics:        i.metrics,
 		Log:            i.log,
 		SinceShutdown:  i.sinceShutdown,
