Log when the own links to upstreams are lost and back

Cause: no entry tells a cut instance from failed upstreams, so that the hypotheses of the incident could not be told apart from the logs.

Change: core/links keeps the outcome of each connection to an upstream and decides whether the own links are lost: connections to three upstreams (or all, if fewer) fail and none succeeds in between. It also tells by which path to connect and through which peer, which nothing uses yet. backend/connect records the outcomes. Events 410 and 411, the gauge links_lost, a field of the status.

--- a/internal/backend/forward/forward.go
+++ b/internal/backend/forward/forward.go
@@ -12,16 +12,14 @@
 	"context"
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
 	"sync/atomic"
-	"time"
 
 	"github.com/gravitational/trace"
 
-	"mimosayard/internal/net/sockets"
+	"mimosayard/internal/backend/connect"
 )
 
 // Client sends calls to upstreams. It must be created with New; the zero value
@@ -55,24 +53,11 @@
 // established. The upstream cannot have received any of it.
 var ErrNotConnected = errors.New("could not connect to upstream")
 
-// Bounds of a call.
-const (
-	// ConnectTimeout is several times the round-trip time within a region. It
-	// is shorter than the one second after which TCP retransmits a lost SYN.
-	ConnectTimeout = 400 * time.Millisecond
-	// maxHeaderBytes bounds the header of a response.
-	maxHeaderBytes = 64 << 10
-)
-
-// A DialFunc connects to the address of an upstream.
-type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+// maxHeaderBytes bounds the header of a response.
+const maxHeaderBytes = 64 << 10
 
-// New returns a client that connects with dial, or with its own dialer if dial is
-// nil.
-func New(dial DialFunc) *Client {
-	if dial == nil {
-		dial = sockets.Dialer(ConnectTimeout).DialContext
-	}
+// New returns a client that connects with dial.
+func New(dial connect.DialFunc) *Client {
 	return &Client{transport: &http.Transport{
 		DialContext:            dial,
 		DisableCompression:     true,
--- a/internal/edge/ingress/ingress_test.go
+++ b/internal/edge/ingress/ingress_test.go
@@ -22,6 +22,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"mimosayard/internal/backend/connect"
 	"mimosayard/internal/backend/forward"
 	"mimosayard/internal/core/catalog"
 	"mimosayard/internal/core/dispatch"
@@ -83,7 +84,7 @@
 	dispatcher.SetUpstreams(time.Now(), entries)
 	ti.server = &Server{
 		Dispatcher:     dispatcher,
-		UpstreamClient: forward.New(nil),
+		UpstreamClient: forward.New(connect.Direct),
 		Log:            zap.NewNop(),
 		SinceShutdown:  func() time.Duration { return 0 },
 		AcceptWindow:   4 * time.Second,
--- a/internal/instance/entry/entry.go
+++ b/internal/instance/entry/entry.go
@@ -17,8 +17,10 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"mimosayard/internal/backend/connect"
 	"mimosayard/internal/backend/forward"
 	"mimosayard/internal/core/dispatch"
+	"mimosayard/internal/core/links"
 	"mimosayard/internal/core/membership"
 	"mimosayard/internal/core/quarantine"
 	"mimosayard/internal/core/releases"
@@ -51,6 +53,7 @@
 	node         *peers.Node
 	metrics      *metrics.Recorder
 	ingress      *ingress.Server
+	dialer       connect.Dialer
 	// quarantineChanges are the changes of the quarantine to be written to the store.
 	quarantineChanges chan quarantine.Change
 
@@ -121,9 +124,10 @@
 	i.initCaches()
 	i.seeds.Store(&s.SeedPeers)
 	i.node = i.newNode(i.started)
+	i.dialer = connect.Dialer{Direct: connect.Direct, Links: &links.Table{OnChange: i.logLinks}}
 	i.ingress = &ingress.Server{
 		Dispatcher:     i.dispatcher,
-		UpstreamClient: forward.New(nil),
+		UpstreamClient: forward.New(i.dialer.DialContext),
 		Metrics:        i.metrics,
 		Log:            i.log,
 		SinceShutdown:  i.sinceShutdown,
--- a/internal/instance/entry/tasks.go
+++ b/internal/instance/entry/tasks.go
@@ -175,6 +175,15 @@
 	i.logQuarantineChanges()
 }
 
+// logLinks logs that the own links to upstreams are lost, or back.
+func (i *Instance) logLinks(lost bool, failing int) {
+	if lost {
+		events.LinksLost.Log(i.log, zap.Int("upstreams", failing))
+		return
+	}
+	events.LinksBack.Log(i.log)
+}
+
 // logQuarantineChanges logs the prompt parts that were quarantined or released, and
 // passes those on which this instance decided on to runQuarantine.
 func (i *Instance) logQuarantineChanges() {
@@ -323,12 +332,21 @@
 		}
 		i.metrics.SetGauge("store_calls", float64(i.store.Calls()))
 		i.metrics.SetGauge("in_flight", float64(i.ingress.InFlight()))
+		i.metrics.SetGauge("links_lost", boolGauge(i.dialer.Links.AllLost()))
 		i.metrics.SetGauge("quarantined_parts", float64(i.dispatcher.QuarantinedParts()))
 		i.metrics.SetGauge("peers", float64(len(i.node.Members())))
 	}
 	return nil
 }
 
+// boolGauge returns the value of a gauge that is 1 while a condition holds.
+func boolGauge(condition bool) float64 {
+	if condition {
+		return 1
+	}
+	return 0
+}
+
 // logFirstReady logs, at most once, that the instance is ready.
 func (i *Instance) logFirstReady() {
 	if i.checkReady() == nil && i.readyLogged.CompareAndSwap(false, true) {
@@ -409,6 +427,7 @@
 		"store_calls": i.store.Calls(),
 		"upstreams":   i.dispatcher.UsableUpstreamCount(),
 		"quarantined": i.dispatcher.QuarantinedParts(),
+		"links_lost":  i.dialer.Links.AllLost(),
 		"beliefs":     i.documentVersions(),
 	}
 	if index := i.dispatcher.Index(); index != nil {
--- a/internal/telemetry/events/events.go
+++ b/internal/telemetry/events/events.go
@@ -63,6 +63,12 @@
 	BillNotCopied    = Event{405, zap.WarnLevel, "bill has no copy at a peer", "Check the peers' connections; the bill is lost if this instance dies before the next settlement."}
 )
 
+// Events of the instance's own links to upstreams.
+var (
+	LinksLost = Event{410, zap.WarnLevel, "own links to upstreams are lost", "Check the network of the instance if its peers reach the upstreams, otherwise the upstreams."}
+	LinksBack = Event{411, zap.InfoLevel, "own links to upstreams are back", "None."}
+)
+
 // Events of versions and their rollouts.
 var (
 	RolloutAdvanced  = Event{500, zap.InfoLevel, "rollout advanced to its next step", "None."}
@@ -98,6 +104,7 @@
 		ConfigInForce, ConfigAccepted, ConfigRejected, ConfigUnreadable,
 		PlatformUnavailable, PlatformAvailable, RaterUnavailable, WatchHistoryExpired, ObjectsChanged, ObjectUndecodable, RolloutStatusWritten, RolloutStatusNotWritten,
 		PeerDown, BillCopiesHeld, PeerBillsSettled, BillsPending, BillLimitReached, BillNotCopied,
+		LinksLost, LinksBack,
 		RolloutAdvanced, VersionWithdrawn, VersionJudgedBad, PartQuarantined, PartReleased, PartNotStored,
 		OrderAcknowledged, OrdersFailed,
 		RequestFailed, RequestServed, IdempotencyKeyNotReleased,
