Let peers relay connections to upstreams

Cause: the first hypothesis of the incident: an instance has no way to an upstream but its own links.

Change: a stream of the peers' protocol that carries one connection to an upstream, asked for with a request that is authenticated, names the peer's process and is accepted once (a replay window as in RFC 4303). The deciding instance keeps the whole request: the peer sees bytes only, so that resume, cancellation, deadline and "not run" stay where they were. The end that the upstream made is a message of its own; whatever else ends the stream is a broken connection, so that a peer that dies can't make an answer without a length look complete. Weighed: forwarding the request to the peer's front door (a second decision, bill and retry budget), a plain tunnel by TCP (a peer's end looks like the upstream's). Nothing uses it yet.

--- a/internal/core/links/peers.go
+++ b/internal/core/links/peers.go
@@ -1,6 +1,7 @@
 package links
 
 import (
+	"errors"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -8,6 +9,10 @@
 	"mimosayard/internal/core/tables"
 )
 
+// ErrUnreachable is returned for a connection through a peer that could not reach the
+// upstream either.
+var ErrUnreachable = errors.New("the peer could not reach the upstream")
+
 // A Peer is an instance through which connections may go.
 type Peer struct {
 	ID         tables.InstanceID
--- a/internal/fleet/peers/messages.go
+++ b/internal/fleet/peers/messages.go
@@ -84,6 +84,8 @@
 
 	rpcDocument      = "/mimosayard.Peers/Document"
 	rpcOfferDocument = "/mimosayard.Peers/OfferDocument"
+
+	rpcRelay = "/mimosayard.Peers/Relay"
 )
 
 // encodeMode encodes floats in the shortest form that keeps their value.
@@ -113,13 +115,15 @@
 		return rpcDocument, d.encoding, receiver((*Node).serveDocument), (*Node).serveDocument, true
 	case 5:
 		return rpcOfferDocument, d.encoding, receiver((*Node).serveOfferDocument), (*Node).serveOfferDocument, true
+	case 6:
+		return rpcRelay, d.encoding, relayReceiver, (*Node).serveRelay, true
 	}
 	return "", nil, nil, nil, false
 }
 
 // NumMethods implements drpc.Description.
 func (d rpcDescription) NumMethods() int {
-	return 6
+	return 7
 }
 
 // Unmarshal verifies the authentication code of a message and decodes it.
@@ -175,6 +179,19 @@
 	return values
 }
 
+// relayReceiver adapts Node.serveRelay to a drpc.Receiver.
+func relayReceiver(srv any, _ context.Context, in, _ any) (drpc.Message, error) {
+	node, ok := srv.(*Node)
+	if !ok {
+		return nil, trace.BadParameter("unexpected server type %T", srv)
+	}
+	stream, ok := in.(drpc.Stream)
+	if !ok {
+		return nil, trace.BadParameter("unexpected stream type %T", in)
+	}
+	return nil, node.serveRelay(stream)
+}
+
 // receiver adapts a method of Node to a drpc.Receiver.
 func receiver[I, O any](method func(*Node, context.Context, *I) (*O, error)) drpc.Receiver {
 	return func(srv any, ctx context.Context, in, _ any) (drpc.Message, error) {
--- a/internal/fleet/peers/node.go
+++ b/internal/fleet/peers/node.go
@@ -15,6 +15,7 @@
 	"math/rand/v2"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -67,6 +68,13 @@
 	// Zero means defaultInexactValueLimit.
 	InexactValueLimit int
 
+	// RelayDial connects to an upstream for a peer. It returns ErrRelayRefused if this
+	// instance relays no connection to the address now. If it is nil, none is relayed.
+	RelayDial func(ctx context.Context, address string) (net.Conn, error)
+	// RelayLimit is the maximum number of connections relayed at once. Zero means
+	// defaultRelayLimit.
+	RelayLimit int
+
 	// StoreBillCopies keeps copies of the bills of the instance that made them,
 	// and drops copies of bills that its account has settled.
 	StoreBillCopies func(epoch billing.Epoch, bills []billing.Bill, account billing.Account)
@@ -89,6 +97,12 @@
 	parentLastHeard time.Time
 	// lastTick is the time of the last check for expired children.
 	lastTick time.Time
+	// relays is the number of connections relayed now, relaySequence the number of
+	// those that this process has asked for.
+	relays        atomic.Int64
+	relaySequence atomic.Uint64
+	// relayCallers tells which relay requests of a peer were received.
+	relayCallers map[tables.InstanceID]*replayWindow
 	// wake triggers a call to the parent before the next tick.
 	wake chan struct{}
 }
@@ -527,6 +541,7 @@
 	n.view = membership.NewView(n.Self)
 	n.children = map[tables.InstanceID]*callerState{}
 	n.gossipCallers = map[tables.InstanceID]*callerState{}
+	n.relayCallers = map[tables.InstanceID]*replayWindow{}
 	n.clients = map[clientKey]*client{}
 	n.wake = make(chan struct{}, 1)
 }
--- /dev/null
+++ b/internal/fleet/peers/relay_test.go
@@ -0,0 +1,263 @@
+package peers
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"golang.org/x/sync/errgroup"
+	"storj.io/drpc/drpcconn"
+
+	"mimosayard/internal/core/links"
+)
+
+// relayPair are two peers, of which the second relays connections to an upstream.
+type relayPair struct {
+	from, through *testPeer
+	// upstream receives the connections that arrive at the upstream.
+	upstream chan net.Conn
+	address  string
+}
+
+// newRelayPair starts two peers and an upstream. dial connects the second peer to the
+// upstream; nil stands for a usual connection.
+func newRelayPair(t *testing.T, dial func(ctx context.Context, address string) (net.Conn, error)) *relayPair {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := &relayPair{upstream: make(chan net.Conn, 16), address: listener.Addr().String()}
+	group := newTestGroup(t, func() { _ = listener.Close() })
+	group.Go(func() error {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return nil
+			}
+			p.upstream <- conn
+		}
+	})
+	if dial == nil {
+		dial = func(ctx context.Context, address string) (net.Conn, error) {
+			return (&net.Dialer{}).DialContext(ctx, "tcp", address)
+		}
+	}
+	peers := newPeers(t, 2)
+	awaitView(t, peers, 2, 3)
+	peers[1].node.RelayDial = dial
+	p.from, p.through = peers[0], peers[1]
+	return p
+}
+
+// dial connects to the upstream through the second peer.
+func (p *relayPair) dial(t *testing.T) (net.Conn, error) {
+	t.Helper()
+	return p.from.node.DialThrough(t.Context(), p.through.node.Self.ID, p.address)
+}
+
+// connect returns both ends of a relayed connection.
+func (p *relayPair) connect(t *testing.T) (client, upstream net.Conn) {
+	t.Helper()
+	client, err := p.dial(t)
+	if err != nil {
+		t.Fatal(err)
+	}
+	upstream = <-p.upstream
+	t.Cleanup(func() {
+		_ = client.Close()
+		_ = upstream.Close()
+	})
+	return client, upstream
+}
+
+func assertRead(t *testing.T, conn net.Conn, want string) {
+	t.Helper()
+	is := is.New(t)
+	is.Helper()
+	buffer := make([]byte, len(want))
+	_, err := io.ReadFull(conn, buffer)
+	is.NoErr(err)
+	is.Equal(string(buffer), want)
+}
+
+// TestRelayedConnection guards against a relay that changes what it carries, or that
+// lets a broken connection look like one that the upstream has closed.
+func TestRelayedConnection(t *testing.T) {
+	t.Parallel()
+	p := newRelayPair(t, nil)
+	t.Run("bytes arrive both ways as they are written", func(t *testing.T) {
+		is := is.New(t)
+		client, upstream := p.connect(t)
+		large := bytes.Repeat([]byte("0123456789abcdef"), 20000)
+		group := newTestGroup(t, func() {})
+		group.Go(func() error { _, err := client.Write(large); return err })
+		assertRead(t, upstream, string(large))
+		is.NoErr(group.Wait())
+		_, err := upstream.Write([]byte("id: 1\n\n"))
+		is.NoErr(err)
+		assertRead(t, client, "id: 1\n\n")
+	})
+	t.Run("a closed connection ends with io.EOF", func(t *testing.T) {
+		is := is.New(t)
+		client, upstream := p.connect(t)
+		_, err := upstream.Write([]byte("all"))
+		is.NoErr(err)
+		is.NoErr(upstream.Close())
+		data, err := io.ReadAll(client)
+		is.NoErr(err)
+		is.Equal(string(data), "all")
+	})
+	t.Run("a reset connection does not end with io.EOF", func(t *testing.T) {
+		is := is.New(t)
+		client, upstream := p.connect(t)
+		_, err := upstream.Write([]byte("part"))
+		is.NoErr(err)
+		assertRead(t, client, "part")
+		is.NoErr(upstream.(*net.TCPConn).SetLinger(0))
+		is.NoErr(upstream.Close())
+		_, err = client.Read(make([]byte, 1))
+		is.True(err != nil && !errors.Is(err, io.EOF))
+	})
+	t.Run("closing it closes the connection to the upstream", func(t *testing.T) {
+		is := is.New(t)
+		client, upstream := p.connect(t)
+		is.NoErr(client.Close())
+		_, err := bufio.NewReader(upstream).ReadByte()
+		is.True(err != nil)
+		await(t, "no connection is relayed", func() bool { return p.through.node.Relays() == 0 })
+	})
+	t.Run("a peer that ends breaks the connection", func(t *testing.T) {
+		is := is.New(t)
+		client, upstream := p.connect(t)
+		_, err := upstream.Write([]byte("part"))
+		is.NoErr(err)
+		assertRead(t, client, "part")
+		p.through.cancel()
+		_, err = client.Read(make([]byte, 1))
+		is.True(err != nil && !errors.Is(err, io.EOF))
+	})
+}
+
+// TestRelayRefusals guards against a peer that relays more than it may, and against a
+// refusal that is taken for an upstream's failure.
+func TestRelayRefusals(t *testing.T) {
+	t.Parallel()
+	t.Run("over the limit", func(t *testing.T) {
+		is := is.New(t)
+		p := newRelayPair(t, nil)
+		p.through.node.RelayLimit = 1
+		client, _ := p.connect(t)
+		_, err := p.dial(t)
+		is.True(err != nil && !errors.Is(err, links.ErrUnreachable))
+		is.NoErr(client.Close())
+		await(t, "there is room again", func() bool { return p.through.node.Relays() == 0 })
+		p.connect(t)
+	})
+	t.Run("by the instance", func(t *testing.T) {
+		p := newRelayPair(t, func(context.Context, string) (net.Conn, error) { return nil, ErrRelayRefused })
+		_, err := p.dial(t)
+		is.New(t).True(errors.Is(err, ErrRelayRefused))
+	})
+	t.Run("an upstream that cannot be reached", func(t *testing.T) {
+		p := newRelayPair(t, func(context.Context, string) (net.Conn, error) { return nil, errors.New("refused") })
+		_, err := p.dial(t)
+		is.New(t).True(errors.Is(err, links.ErrUnreachable))
+		is.New(t).Equal(p.through.node.Relays(), int64(0))
+	})
+	t.Run("an upstream that hangs", func(t *testing.T) {
+		p := newRelayPair(t, func(ctx context.Context, _ string) (net.Conn, error) { <-ctx.Done(); return nil, ctx.Err() })
+		began := time.Now()
+		_, err := p.dial(t)
+		is.New(t).True(errors.Is(err, links.ErrUnreachable))
+		is.New(t).True(time.Since(began) < relayOpenTimeout)
+	})
+	t.Run("an instance without relays", func(t *testing.T) {
+		p := newRelayPair(t, nil)
+		p.through.node.RelayDial = nil
+		_, err := p.dial(t)
+		is.New(t).True(errors.Is(err, ErrRelayRefused))
+	})
+	t.Run("with another key", func(t *testing.T) {
+		p := newRelayPair(t, nil)
+		p.through.partitioned.Store(true)
+		_, err := p.dial(t)
+		is.New(t).True(err != nil)
+		is.New(t).Equal(len(p.upstream), 0)
+	})
+}
+
+// TestReplayedRelayRequestsAreRefused guards against connections that somebody opens with
+// a recorded request.
+func TestReplayedRelayRequestsAreRefused(t *testing.T) {
+	t.Parallel()
+	p := newRelayPair(t, nil)
+	open := func(request *relayOpen) error {
+		raw, err := net.Dial("tcp", p.through.node.Self.Address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		c := &relayConn{raw: raw, conn: drpcconn.New(raw), encoding: p.from.node.encoding(), session: request.Session}
+		defer c.Close()
+		return c.open(t.Context(), request)
+	}
+	self := p.through.node.Self
+	request := relayOpen{Protocol: protocolVersion, From: "x", Epoch: 2, Sequence: 5, To: self.ID, ToEpoch: self.Epoch, Address: p.address, Session: 9}
+	is := is.New(t)
+	is.NoErr(open(&request))
+	is.True(open(&request) != nil)
+	earlier := request
+	earlier.Sequence = 4
+	is.NoErr(open(&earlier))
+	is.True(open(&earlier) != nil)
+	oldProcess := request
+	oldProcess.Epoch, oldProcess.Sequence = 1, 9
+	is.True(open(&oldProcess) != nil)
+	otherPeer := request
+	otherPeer.Sequence, otherPeer.ToEpoch = 10, self.Epoch+1
+	is.True(open(&otherPeer) != nil)
+}
+
+// TestReplayWindow guards against numbers that are accepted twice or, in the window,
+// never.
+func TestReplayWindow(t *testing.T) {
+	t.Run("each number once, in any order", func(t *testing.T) {
+		w := &replayWindow{}
+		for _, n := range []uint64{1, 3, 2, 70, 65, 200, 199, 1000, 131, 1001} {
+			is.New(t).True(w.accept(n))
+			is.New(t).True(!w.accept(n))
+		}
+	})
+	t.Run("all of a long run", func(t *testing.T) {
+		w := &replayWindow{}
+		for n := uint64(1); n < 5000; n++ {
+			is.New(t).True(w.accept(n))
+		}
+		for n := uint64(1); n < 5000; n++ {
+			is.New(t).True(!w.accept(n))
+		}
+	})
+	t.Run("none below the window", func(t *testing.T) {
+		w := &replayWindow{}
+		is.New(t).True(w.accept(1 << 40))
+		is.New(t).True(!w.accept(1<<40 - 64*replayWindowWords))
+		is.New(t).True(w.accept(1<<40 - 64*replayWindowWords + 1))
+	})
+}
+
+// newTestGroup returns a group whose goroutines end before the test does, after stop.
+func newTestGroup(t *testing.T, stop func()) *errgroup.Group {
+	t.Helper()
+	group := &errgroup.Group{}
+	t.Cleanup(func() {
+		stop()
+		_ = group.Wait()
+	})
+	return group
+}
--- a/internal/instance/entry/links_test.go
+++ b/internal/instance/entry/links_test.go
@@ -113,7 +113,7 @@
 		OperatorsAddress: address(8081),
 		PeersAddress:     address(8082),
 		PeerKey:          []byte("a key for the tests of the links"),
-		SeedPeers:        []string{fmt.Sprintf("%s.10:8082", f.subnet), fmt.Sprintf("%s.11:8082", f.subnet)},
+		SeedPeers:        []string{f.subnet + ".10:8082", f.subnet + ".11:8082"},
 		Shared:           &settings.SharedPlatform{StoreAddress: f.store.Listener.Addr().String(), ReadyAddress: address(8083), StopGrace: 2},
 	})
 	if err != nil {
