Serve callers over peers while the own links to upstreams are lost

What callers saw: first tries at an instance that reaches no upstream were turned away with 503 or cut at their deadline, 0 to 10 of about 190 served.

Cause: an instance had no way to an upstream but its own links.

Change: backend/connect dials the upstreams. It asks core/links for the path, and connects through a peer (own data centre first, of two random ones the less used) if the own link is lost; of a direct connection that fails as the links are found lost, the caller gets the one through a peer instead of the failure. Probes bring the links back: a few of the calls try the own link with a head start of 20 ms. The request stays with the instance that took it.

Why it works: the path is chosen below the request, so that resume, cancellation, deadlines and "not run" need no second rule.

--- a/internal/backend/connect/connect.go
+++ b/internal/backend/connect/connect.go
@@ -1,15 +1,24 @@
-// Package connect opens the connections to upstreams and records which of them succeed.
+// Package connect opens connections to upstreams: over the instance's own links, or
+// through a peer while those are lost.
+//
+// Nothing above it sees the difference, so that one instance decides on a request,
+// counts and bills it. A connection that is returned reaches the upstream, and with an
+// error the upstream has received nothing.
 package connect
 
 import (
 	"context"
 	"errors"
 	"net"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/gravitational/trace"
+	"golang.org/x/sync/errgroup"
 
 	"mimosayard/internal/core/links"
+	"mimosayard/internal/core/tables"
 	"mimosayard/internal/net/sockets"
 )
 
@@ -21,20 +30,84 @@
 	// Direct connects over the own link. It bounds the time that it takes.
 	Direct DialFunc
 	Links  *links.Table
+	// Candidates returns the peers through which connections may go. If it is nil,
+	// none does.
+	Candidates func() []links.Peer
+	// Through connects through a peer.
+	Through func(ctx context.Context, peer tables.InstanceID, address string) (net.Conn, error)
+	// Peers spreads the connections over the peers.
+	Peers links.Peers
+
+	// probes are the probes of own links that are not over.
+	probes errgroup.Group
 }
 
-// directTimeout bounds connecting over the own link. It is several times the
-// round-trip time within a region, and shorter than the one second after which TCP
-// retransmits a lost SYN.
-const directTimeout = 400 * time.Millisecond
+const (
+	// directTimeout bounds connecting over the own link. It is several times the
+	// round-trip time within a region, and shorter than the one second after which TCP
+	// retransmits a lost SYN.
+	directTimeout = 400 * time.Millisecond
+	// probeHeadStart is how long a probe of the own link may delay the connection
+	// through a peer.
+	probeHeadStart = 20 * time.Millisecond
+	// maxPeers bounds the peers that are asked for one connection.
+	maxPeers = 3
+	// maxUnreachable is the number of peers without a link to the upstream from which
+	// the upstream counts as failed.
+	maxUnreachable = 2
+)
+
+// ErrOwnLinkLost is returned for a peer's connection over a link that is lost.
+var ErrOwnLinkLost = errors.New("the own link to the upstream is lost")
+
+// errNoPeer is returned if no peer may carry a connection.
+var errNoPeer = errors.New("no peer can be asked for a connection")
 
 // Direct connects over the own link within directTimeout.
 func Direct(ctx context.Context, network, address string) (net.Conn, error) {
 	return sockets.Dialer(directTimeout).DialContext(ctx, network, address)
 }
 
+// Through returns the peer that carries a connection, empty for a direct one.
+func Through(conn net.Conn) tables.InstanceID {
+	if c, ok := conn.(*peerConn); ok {
+		return c.peer
+	}
+	return ""
+}
+
 // DialContext connects to an upstream.
 func (d *Dialer) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
+	switch d.Links.Path(time.Now(), links.Address(address)) {
+	case links.Relayed:
+		return d.throughPeer(ctx, address)
+	case links.Probe:
+		return d.probe(ctx, network, address)
+	case links.Direct:
+	}
+	conn, err := d.direct(ctx, network, address)
+	if err == nil || ctx.Err() != nil || !d.Links.Lost(time.Now(), links.Address(address)) {
+		return conn, trace.Wrap(err)
+	}
+	return d.throughPeer(ctx, address)
+}
+
+// DialForPeer connects to an upstream for a peer, over the own link only, so that no
+// connection makes more than one hop. It returns ErrOwnLinkLost without a try if that
+// link is lost.
+func (d *Dialer) DialForPeer(ctx context.Context, address string) (net.Conn, error) {
+	if d.Links.Lost(time.Now(), links.Address(address)) {
+		return nil, trace.Wrap(ErrOwnLinkLost)
+	}
+	conn, err := d.direct(ctx, "tcp", address)
+	if err != nil && d.Links.Lost(time.Now(), links.Address(address)) {
+		return nil, trace.Wrap(ErrOwnLinkLost)
+	}
+	return conn, trace.Wrap(err)
+}
+
+// direct connects over the own link and records whether that succeeds.
+func (d *Dialer) direct(ctx context.Context, network, address string) (net.Conn, error) {
 	conn, err := d.Direct(ctx, network, address)
 	switch {
 	case err == nil:
@@ -42,5 +115,83 @@
 	case !errors.Is(ctx.Err(), context.Canceled):
 		d.Links.RecordFailure(time.Now(), links.Address(address))
 	}
-	return conn, trace.Wrap(err)
+	return conn, err
+}
+
+// probe connects over the own link, or through a peer if that takes longer than
+// probeHeadStart. The outcome on the own link is recorded in either case.
+func (d *Dialer) probe(ctx context.Context, network, address string) (net.Conn, error) {
+	connected, abandoned := make(chan net.Conn), make(chan struct{})
+	d.probes.Go(func() error {
+		conn, err := d.direct(context.WithoutCancel(ctx), network, address)
+		select {
+		case connected <- conn:
+		case <-abandoned:
+			if err == nil {
+				_ = conn.Close()
+			}
+		}
+		return nil
+	})
+	defer close(abandoned)
+	timer := time.NewTimer(probeHeadStart)
+	defer timer.Stop()
+	select {
+	case conn := <-connected:
+		if conn != nil {
+			return conn, nil
+		}
+	case <-timer.C:
+	}
+	return d.throughPeer(ctx, address)
+}
+
+// throughPeer connects through a peer. It asks others if one takes no connection.
+func (d *Dialer) throughPeer(ctx context.Context, address string) (net.Conn, error) {
+	if d.Candidates == nil {
+		return nil, trace.Wrap(errNoPeer)
+	}
+	failures := []error{errNoPeer}
+	candidates := d.Candidates()
+	unreachable := 0
+	for range maxPeers {
+		n, ok := d.Peers.Choose(time.Now(), candidates)
+		if !ok {
+			break
+		}
+		peer := candidates[n].ID
+		candidates = slices.Delete(candidates, n, n+1)
+		conn, err := d.Through(ctx, peer, address)
+		if err == nil {
+			d.Links.RecordElsewhere(time.Now(), links.Address(address))
+			d.Peers.Opened(peer)
+			return &peerConn{Conn: conn, peer: peer, closed: sync.OnceFunc(func() { d.Peers.Closed(peer) })}, nil
+		}
+		failures = append(failures[:len(failures):len(failures)], err)
+		if ctx.Err() != nil {
+			break
+		}
+		if !errors.Is(err, links.ErrUnreachable) {
+			d.Peers.Refused(time.Now(), peer)
+			continue
+		}
+		if unreachable++; unreachable == maxUnreachable {
+			d.Links.RecordUnreachable(links.Address(address))
+			break
+		}
+	}
+	return nil, trace.Wrap(errors.Join(failures[min(1, len(failures)-1):]...))
+}
+
+// peerConn is a connection through a peer.
+type peerConn struct {
+	net.Conn
+	peer   tables.InstanceID
+	closed func()
+}
+
+// Close implements net.Conn.
+func (c *peerConn) Close() error {
+	c.closed()
+	return c.Conn.Close()
 }
--- a/internal/backend/forward/forward.go
+++ b/internal/backend/forward/forward.go
@@ -20,6 +20,7 @@
 	"github.com/gravitational/trace"
 
 	"mimosayard/internal/backend/connect"
+	"mimosayard/internal/core/tables"
 )
 
 // Client sends calls to upstreams. It must be created with New; the zero value
@@ -39,6 +40,9 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// OnConnected is called once there is a connection, with the peer that carries it,
+	// empty for a direct one. It may be nil.
+	OnConnected func(through tables.InstanceID)
 }
 
 // Response is an upstream's response of which only the header has been read.
@@ -72,7 +76,12 @@
 func (c *Client) Send(ctx context.Context, call Request) (*Response, error) {
 	var connected atomic.Bool
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+		GotConn: func(info httptrace.GotConnInfo) {
+			connected.Store(true)
+			if call.OnConnected != nil {
+				call.OnConnected(connect.Through(info.Conn))
+			}
+		},
 	})
 	var body io.ReadCloser = http.NoBody
 	if len(call.Body) > 0 {
--- a/internal/core/dispatch/dispatch.go
+++ b/internal/core/dispatch/dispatch.go
@@ -235,6 +235,20 @@
 	return count
 }
 
+// HasUpstream reports whether an upstream is known at the address.
+func (d *Dispatcher) HasUpstream(address string) bool {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	for _, s := range d.services {
+		for _, u := range s.upstreams {
+			if u.Address == address {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // service returns the state of the service, which it creates if there is none.
 func (d *Dispatcher) service(name tables.ServiceID) *service {
 	s := d.services[name]
--- a/internal/core/links/peers.go
+++ b/internal/core/links/peers.go
@@ -9,9 +9,13 @@
 	"mimosayard/internal/core/tables"
 )
 
-// ErrUnreachable is returned for a connection through a peer that could not reach the
-// upstream either.
-var ErrUnreachable = errors.New("the peer could not reach the upstream")
+// Errors of connections through a peer.
+var (
+	// ErrUnreachable is returned if the peer could not reach the upstream either.
+	ErrUnreachable = errors.New("the peer could not reach the upstream")
+	// ErrPeerLost is returned if the connection to the peer broke.
+	ErrPeerLost = errors.New("the connection to the peer broke")
+)
 
 // A Peer is an instance through which connections may go.
 type Peer struct {
--- a/internal/fleet/peers/messages.go
+++ b/internal/fleet/peers/messages.go
@@ -116,7 +116,7 @@
 	case 5:
 		return rpcOfferDocument, d.encoding, receiver((*Node).serveOfferDocument), (*Node).serveOfferDocument, true
 	case 6:
-		return rpcRelay, d.encoding, relayReceiver, (*Node).serveRelay, true
+		return rpcRelay, d.encoding, relayReceiver(), (*Node).serveRelay, true
 	}
 	return "", nil, nil, nil, false
 }
@@ -180,16 +180,18 @@
 }
 
 // relayReceiver adapts Node.serveRelay to a drpc.Receiver.
-func relayReceiver(srv any, _ context.Context, in, _ any) (drpc.Message, error) {
-	node, ok := srv.(*Node)
-	if !ok {
-		return nil, trace.BadParameter("unexpected server type %T", srv)
-	}
-	stream, ok := in.(drpc.Stream)
-	if !ok {
-		return nil, trace.BadParameter("unexpected stream type %T", in)
+func relayReceiver() drpc.Receiver {
+	return func(srv any, _ context.Context, in, _ any) (drpc.Message, error) {
+		node, ok := srv.(*Node)
+		if !ok {
+			return nil, trace.BadParameter("unexpected server type %T", srv)
+		}
+		stream, ok := in.(drpc.Stream)
+		if !ok {
+			return nil, trace.BadParameter("unexpected stream type %T", in)
+		}
+		return nil, node.serveRelay(stream)
 	}
-	return nil, node.serveRelay(stream)
 }
 
 // receiver adapts a method of Node to a drpc.Receiver.
--- a/internal/fleet/peers/relay.go
+++ b/internal/fleet/peers/relay.go
@@ -51,9 +51,10 @@
 	// FromUpstream is the direction.
 	FromUpstream bool   `cbor:"3,keyasint,omitempty"`
 	Data         []byte `cbor:"4,keyasint,omitempty"`
-	// End reports that the upstream closed the connection after the data. Without
-	// it the end of the relay is a broken connection.
-	End bool `cbor:"5,keyasint,omitempty"`
+	// End reports that the upstream closed the connection after the data, Broken that
+	// the connection to it broke. Without either the end is the loss of the peer.
+	End    bool `cbor:"5,keyasint,omitempty"`
+	Broken bool `cbor:"6,keyasint,omitempty"`
 }
 
 // relayStatus is the result of a relayOpen.
@@ -186,23 +187,24 @@
 	return nil
 }
 
-// Read implements net.Conn. It returns io.EOF only if the upstream closed the
-// connection.
+// Read implements net.Conn. It returns io.EOF if the upstream closed the connection,
+// io.ErrUnexpectedEOF if the connection to it broke, and links.ErrPeerLost if the
+// connection to the peer did.
 func (c *relayConn) Read(buffer []byte) (int, error) {
 	for len(c.unread) == 0 {
 		if c.ended {
 			return 0, io.EOF
 		}
 		var message relayData
-		switch err := c.stream.MsgRecv(&message, c.encoding); {
-		case errors.Is(err, io.EOF):
-			return 0, io.ErrUnexpectedEOF
-		case err != nil:
-			return 0, trace.Wrap(err)
+		if err := c.stream.MsgRecv(&message, c.encoding); err != nil {
+			return 0, trace.Wrap(errors.Join(links.ErrPeerLost, errors.New(err.Error())))
 		}
 		if message.Session != c.session || message.Number != c.received || !message.FromUpstream {
 			return 0, trace.AccessDenied("relayed data is out of sequence")
 		}
+		if message.Broken {
+			return 0, io.ErrUnexpectedEOF
+		}
 		c.received++
 		c.unread, c.ended = message.Data, message.End
 	}
@@ -217,7 +219,7 @@
 	for written < len(data) {
 		chunk := data[written:min(len(data), written+relayChunkBytes)]
 		if err := c.stream.MsgSend(&relayData{Session: c.session, Number: c.sent, Data: chunk}, c.encoding); err != nil {
-			return written, trace.Wrap(err)
+			return written, trace.Wrap(errors.Join(links.ErrPeerLost, errors.New(err.Error())))
 		}
 		c.sent++
 		written += len(chunk)
@@ -272,12 +274,9 @@
 	forwarding.Go(r.forwardToUpstream)
 	err := r.forwardFromUpstream()
 	_ = upstream.Close()
-	if err != nil {
-		return trace.Wrap(err)
-	}
-	// The peer reads the end before it closes the stream.
+	// The peer reads the end of the connection before it closes the stream.
 	_ = forwarding.Wait()
-	return nil
+	return trace.Wrap(err)
 }
 
 // acceptRelay returns an error for a request of another protocol version, for
@@ -340,22 +339,16 @@
 	upstream net.Conn
 }
 
-// forwardFromUpstream sends what the upstream sends, up to its end. It returns an
-// error if the connection to the upstream breaks.
+// forwardFromUpstream sends what the upstream sends, up to its end or the break of the
+// connection to it.
 func (r *relayedStream) forwardFromUpstream() error {
 	buffer := make([]byte, relayChunkBytes)
 	for number := uint64(0); ; number++ {
 		count, err := r.upstream.Read(buffer)
 		ended := errors.Is(err, io.EOF)
-		if err != nil && !ended {
-			return trace.Wrap(err)
-		}
-		message := &relayData{Session: r.session, Number: number, FromUpstream: true, Data: buffer[:count], End: ended}
-		if err := r.stream.MsgSend(message, r.encoding); err != nil {
-			return trace.Wrap(err)
-		}
-		if ended {
-			return nil
+		message := &relayData{Session: r.session, Number: number, FromUpstream: true, Data: buffer[:count], End: ended, Broken: err != nil && !ended}
+		if sendErr := r.stream.MsgSend(message, r.encoding); sendErr != nil || err != nil {
+			return trace.Wrap(sendErr)
 		}
 	}
 }
--- a/internal/fleet/peers/relay_test.go
+++ b/internal/fleet/peers/relay_test.go
@@ -123,7 +123,7 @@
 		is.NoErr(upstream.(*net.TCPConn).SetLinger(0))
 		is.NoErr(upstream.Close())
 		_, err = client.Read(make([]byte, 1))
-		is.True(err != nil && !errors.Is(err, io.EOF))
+		is.True(errors.Is(err, io.ErrUnexpectedEOF))
 	})
 	t.Run("closing it closes the connection to the upstream", func(t *testing.T) {
 		is := is.New(t)
@@ -141,7 +141,8 @@
 		assertRead(t, client, "part")
 		p.through.cancel()
 		_, err = client.Read(make([]byte, 1))
-		is.True(err != nil && !errors.Is(err, io.EOF))
+		is.True(errors.Is(err, links.ErrPeerLost))
+		is.True(!errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF))
 	})
 }
 
--- a/internal/instance/entry/entry.go
+++ b/internal/instance/entry/entry.go
@@ -53,7 +53,7 @@
 	node         *peers.Node
 	metrics      *metrics.Recorder
 	ingress      *ingress.Server
-	dialer       connect.Dialer
+	dialer       *connect.Dialer
 	// quarantineChanges are the changes of the quarantine to be written to the store.
 	quarantineChanges chan quarantine.Change
 
@@ -124,7 +124,13 @@
 	i.initCaches()
 	i.seeds.Store(&s.SeedPeers)
 	i.node = i.newNode(i.started)
-	i.dialer = connect.Dialer{Direct: connect.Direct, Links: &links.Table{OnChange: i.logLinks}}
+	i.dialer = &connect.Dialer{
+		Direct:     connect.Direct,
+		Links:      &links.Table{OnChange: i.logLinks},
+		Candidates: i.node.RelayPeers,
+		Through:    i.node.DialThrough,
+		Peers:      links.Peers{Home: s.DataCenter},
+	}
 	i.ingress = &ingress.Server{
 		Dispatcher:     i.dispatcher,
 		UpstreamClient: forward.New(i.dialer.DialContext),
@@ -199,7 +205,7 @@
 	i.node.Leave(leaveCtx)
 	cancelLeave()
 	for time.Now().Before(drainDeadline) {
-		idle := time.Since(start) > i.settings.BalancerLag.Duration() && i.ingress.InFlight() == 0
+		idle := time.Since(start) > i.settings.BalancerLag.Duration() && i.ingress.InFlight() == 0 && i.node.Relays() == 0
 		if idle || !delay.Sleep(ctx, drainCheckInterval) {
 			break
 		}
@@ -256,6 +262,7 @@
 		OnTotals:          i.applyTotals,
 		CallInterval:      peerCallInterval,
 		InexactValueLimit: maxMessageValues,
+		RelayDial:         i.dialForPeer,
 		Documents: peers.Documents{
 			Versions: i.documentVersions,
 			Snapshot: i.snapshot,
@@ -267,6 +274,18 @@
 	}
 }
 
+// dialForPeer connects to an upstream for a peer, over the own link only.
+func (i *Instance) dialForPeer(ctx context.Context, address string) (net.Conn, error) {
+	if !i.dispatcher.HasUpstream(address) {
+		return nil, peers.ErrRelayRefused
+	}
+	conn, err := i.dialer.DialForPeer(ctx, address)
+	if errors.Is(err, connect.ErrOwnLinkLost) {
+		return nil, peers.ErrRelayRefused
+	}
+	return conn, err
+}
+
 // peerKey returns the key that authenticates the messages of peers: the key of
 // the settings, or else the default of the shared platform.
 func (i *Instance) peerKey() []byte {
