Count only calls that reached an upstream against the retry budget

What callers saw: requests at cut instances were refused with "the budget for repeats is used up", and for two seconds after the links were back.

Cause: each call beyond a request's first drew on the budget, also when no call of the request had reached an upstream. The budget bounds the extra load on upstreams; a call that reached none is no load. Class of fault: a limit counted where the work is asked for, not where it arrives.

Change: a retry is a call after one that reached an upstream. Calls are still bounded by maxCalls and the deadline.

Measured: the new case of TestNext, 20 requests with three unreached calls each, leaves a failed request without its retry before, and passes after.

--- a/internal/core/dispatch/dispatch_test.go
+++ b/internal/core/dispatch/dispatch_test.go
@@ -147,6 +147,22 @@
 		d.EndCall(now, task, first, Unreachable)
 		is.True(mustNextCall(t, d, task).Upstream.ID != first.Upstream.ID)
 	})
+	t.Run("calls that reached no upstream leave the retry budget to others", func(t *testing.T) {
+		is := is.New(t)
+		d := newDispatcher(newUpstreams("v1", 4)...)
+		d.SetLimits(Limits{Retries: retries.Budget{Slack: minInstances * 2, Window: time.Minute}})
+		for i := range 20 {
+			task := mustAdmit(t, d, newRoute(catalog.Safe), strconv.Itoa(i))
+			for range 3 {
+				d.EndCall(now, task, mustNextCall(t, d, task), Unreachable)
+			}
+			d.EndCall(now, task, mustNextCall(t, d, task), Served)
+		}
+		task := mustAdmit(t, d, newRoute(catalog.Safe), "failed")
+		d.EndCall(now, task, mustNextCall(t, d, task), Failed)
+		_, fault := d.NextCall(now, task)
+		is.True(fault == nil)
+	})
 	t.Run("retries stop when the retry budget is used up", func(t *testing.T) {
 		is := is.New(t)
 		d := newDispatcher(newUpstreams("v1", 3)...)
--- a/internal/core/dispatch/task.go
+++ b/internal/core/dispatch/task.go
@@ -49,9 +49,10 @@
 	version tables.VersionID
 	// pinned is true if the session already ran on the target of the rollout.
 	pinned bool
-	// calls is the number of calls so far, losses the number of those that were lost
-	// before their answer got past its beginning.
-	calls, losses int
+	// calls is the number of calls so far, arrivals the number of those that reached an
+	// upstream, losses the number of those that were lost before their answer got past
+	// its beginning.
+	calls, arrivals, losses int
 	// tried are the upstreams that failed or refused the request.
 	tried []tables.UpstreamID
 }
@@ -168,7 +169,7 @@
 		return nil, noUpstreamNow(now, task.service.name, candidates)
 	}
 	u.RecordCall(now)
-	if task.calls > 0 {
+	if task.arrivals > 0 {
 		task.service.retries.CountRetry(now, d.limits.Retries)
 	}
 	task.calls++
@@ -325,6 +326,9 @@
 	if result != Served && result != Abandoned {
 		task.tried = append(task.tried, u.ID)
 	}
+	if result != Unreachable {
+		task.arrivals++
+	}
 	if result != Unreachable && result != AddressReused {
 		task.service.recordTraffic(task)
 	}
@@ -384,7 +388,7 @@
 		return faults.New(faults.UpstreamFailed, "the route's attempts are used up")
 	case task.calls >= maxCalls:
 		return faults.New(faults.NoUpstream, "too many upstreams did not take the request")
-	case task.service.retries.Remaining(now, d.limits.Retries, d.instances) < 1:
+	case task.arrivals > 0 && task.service.retries.Remaining(now, d.limits.Retries, d.instances) < 1:
 		return faults.New(faults.NoUpstream, "the budget for repeats is used up")
 	}
 	return nil
