Count lost links against no upstream and no version

Cause: calls on open connections that end with a lost link (timed out, or broken by keep-alive) started cooldowns of sound upstreams, also at the peers, counted as failures of the version in a rollout and as crashes for the quarantine, and the time for connecting through a peer counted as the answer's latency. Class of fault: the observer's failure is counted as that of the observed.

Change: the dispatcher holds the links. A call that times out or breaks while the own link is lost, times out through a peer, or is lost with the peer is a LinkLost: it may have run, and is no evidence. Latencies begin with the connection. Answers of other instances feed the links, so that the cut of a single link is found, too. The log names the peer that carried a call.

--- a/internal/core/dispatch/dispatch.go
+++ b/internal/core/dispatch/dispatch.go
@@ -11,6 +11,7 @@
 	"mimosayard/internal/core/aggregates"
 	"mimosayard/internal/core/catalog"
 	"mimosayard/internal/core/forecast"
+	"mimosayard/internal/core/links"
 	"mimosayard/internal/core/placement"
 	"mimosayard/internal/core/quarantine"
 	"mimosayard/internal/core/releases"
@@ -33,6 +34,7 @@
 	dataCenter tables.DataCenterID
 	limits     Limits
 	chooser    placement.Chooser
+	links      *links.Table
 
 	index    *catalog.Index
 	services map[tables.ServiceID]*service
@@ -99,12 +101,19 @@
 		dataCenter: dataCenter,
 		limits:     limits,
 		chooser:    placement.Chooser{Random: random},
+		links:      &links.Table{},
 		services:   map[tables.ServiceID]*service{},
 		instances:  minInstances,
 		sessions:   sessionTable{versions: map[sessionID]sessionEntry{}},
 	}
 }
 
+// Links returns the instance's own links to the upstreams. Whoever connects to them
+// records there whether it succeeds.
+func (d *Dispatcher) Links() *links.Table {
+	return d.links
+}
+
 // Index returns the index of the configuration in force, or nil.
 func (d *Dispatcher) Index() *catalog.Index {
 	d.mutex.Lock()
--- a/internal/core/dispatch/evidence.go
+++ b/internal/core/dispatch/evidence.go
@@ -6,6 +6,7 @@
 
 	"mimosayard/internal/core/aggregates"
 	"mimosayard/internal/core/catalog"
+	"mimosayard/internal/core/links"
 	"mimosayard/internal/core/placement"
 	"mimosayard/internal/core/releases"
 	"mimosayard/internal/core/tables"
@@ -110,7 +111,11 @@
 		for _, u := range s.upstreams {
 			work := upstreamKey(valueWork, u)
 			u.OthersWork = totals.Others(reported, work)
-			u.SetFleetCounts(now, totals[upstreamKey(valueRuns, u)], totals[upstreamKey(valueFails, u)])
+			runs, fails := upstreamKey(valueRuns, u), upstreamKey(valueFails, u)
+			u.SetFleetCounts(now, totals[runs], totals[fails])
+			if u.SetOthersAnswers(totals.Others(reported, runs) - totals.Others(reported, fails)) {
+				d.links.RecordElsewhere(now, links.Address(u.Address))
+			}
 		}
 		verdicts = append(verdicts, d.judgeRollout(s, totals, reported)...)
 	}
@@ -263,7 +268,7 @@
 	}
 	// A lost connection is a fault of the upstream, not of its version, and shows
 	// neither a failure nor a good answer.
-	lost := result == Broken || result == Mismatched
+	lost := result == Broken || result == Mismatched || result == LinkLost
 	if !lost {
 		evidence.Runs++
 	}
--- a/internal/core/dispatch/task.go
+++ b/internal/core/dispatch/task.go
@@ -9,6 +9,7 @@
 	"mimosayard/internal/core/catalog"
 	"mimosayard/internal/core/faults"
 	"mimosayard/internal/core/forecast"
+	"mimosayard/internal/core/links"
 	"mimosayard/internal/core/placement"
 	"mimosayard/internal/core/quarantine"
 	"mimosayard/internal/core/tables"
@@ -89,6 +90,8 @@
 	work    float64
 	sentAt  time.Time
 	started bool
+	// through is the peer that carries the connection, empty for a direct one.
+	through tables.InstanceID
 	// startLatency is the wait for the start of the answer.
 	startLatency time.Duration
 	// hasEvent is true once the answer had an event. totalGap is the sum of the gaps
@@ -118,6 +121,9 @@
 	Unreachable
 	// Refused is a call that the upstream reports not to have run.
 	Refused
+	// LinkLost is a call whose connection was lost with this instance's own link to the
+	// upstream, or with the peer that carried it. The upstream may have run it.
+	LinkLost
 	// AddressReused is a call that reached another upstream at the address.
 	AddressReused
 	// Abandoned is a call that the router ended, without any fault of the
@@ -231,6 +237,20 @@
 	return false
 }
 
+// RecordConnected records that there is a connection for a call, and the peer that
+// carries it, empty for a direct one. The time that it took to connect does not count
+// as the upstream's.
+func (d *Dispatcher) RecordConnected(now time.Time, call *Call, through tables.InstanceID) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	call.sentAt, call.through = now, through
+}
+
+// Through returns the peer that carries the connection, empty for a direct one.
+func (c *Call) Through() tables.InstanceID {
+	return c.through
+}
+
 // An UpstreamState is what an upstream says of itself in the header of an answer.
 type UpstreamState struct {
 	// Leaving is true if its process is about to end.
@@ -309,6 +329,9 @@
 	u := call.upstream
 	u.RemoveWork(call.work)
 	d.rememberSession(now, task)
+	if d.isLinkLost(now, call, result) {
+		result = LinkLost
+	}
 	switch result {
 	case Served:
 		u.RecordSuccess(now)
@@ -321,7 +344,7 @@
 		u.RecordRefusal(now)
 	case AddressReused:
 		u.MarkAddressReused()
-	case Abandoned:
+	case Abandoned, LinkLost:
 	}
 	if result != Served && result != Abandoned {
 		task.tried = append(task.tried, u.ID)
@@ -342,6 +365,18 @@
 	d.recordForQuarantine(now, task, call, result)
 }
 
+// isLinkLost reports whether a call ended because a link was lost. A peer tells when
+// the connection between it and the upstream breaks, but not when that is silent.
+func (d *Dispatcher) isLinkLost(now time.Time, call *Call, result Result) bool {
+	switch {
+	case call.through != "":
+		return result == TimedOut
+	case result == TimedOut, result == Broken:
+		return d.links.Lost(now, links.Address(call.Upstream.Address))
+	}
+	return false
+}
+
 // recordForQuarantine records what the end of a call shows about the parts of its
 // prompt.
 func (d *Dispatcher) recordForQuarantine(now time.Time, task *Task, call *Call, result Result) {
--- a/internal/edge/ingress/calls.go
+++ b/internal/edge/ingress/calls.go
@@ -15,6 +15,7 @@
 	"mimosayard/internal/backend/forward"
 	"mimosayard/internal/core/dispatch"
 	"mimosayard/internal/core/faults"
+	"mimosayard/internal/core/links"
 	"mimosayard/internal/core/quarantine"
 	"mimosayard/internal/core/tables"
 	"mimosayard/platform"
@@ -98,6 +99,9 @@
 		Host:    x.request.Host,
 		Header:  platform.ForwardHeader(x.request.Header, overrides),
 		Body:    x.body,
+		OnConnected: func(through tables.InstanceID) {
+			x.server.Dispatcher.RecordConnected(time.Now(), call, through)
+		},
 	})
 }
 
@@ -196,6 +200,8 @@
 		return dispatch.TimedOut, false, faults.New(faults.UpstreamTimeout, context.Cause(ctx).Error())
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return dispatch.Abandoned, true, faults.New(faults.UpstreamTimeout, "the time is over")
+	case errors.Is(err, links.ErrPeerLost):
+		return dispatch.LinkLost, false, faults.New(faults.AnswerIncomplete, links.ErrPeerLost.Error())
 	}
 	return dispatch.Broken, false, faults.New(faults.AnswerIncomplete, "")
 }
--- a/internal/edge/ingress/outcomes.go
+++ b/internal/edge/ingress/outcomes.go
@@ -39,6 +39,7 @@
 	dispatch.TimedOut:      "silent",
 	dispatch.Unreachable:   "unreached",
 	dispatch.Refused:       "refused",
+	dispatch.LinkLost:      "cut",
 	dispatch.AddressReused: "misnamed",
 	dispatch.Abandoned:     "dropped",
 }
@@ -70,8 +71,11 @@
 // is the start latency and "pause" the mean gap between events, both in
 // milliseconds.
 func (x *exchange) summarizeCall(call *dispatch.Call, result dispatch.Result, err error) {
-	summary := fmt.Sprintf("%s %s@%s %s wait %d expected %d pause %d work %.1f", resultNames[result], call.Upstream.ID,
-		call.Upstream.Version, call.Model, call.StartLatency().Milliseconds(), call.ExpectedStart.Milliseconds(), call.MeanGap().Milliseconds(), call.UpstreamWork)
+	upstream := string(call.Upstream.ID) + "@" + string(call.Upstream.Version)
+	if call.Through() != "" {
+		upstream += " through " + string(call.Through())
+	}
+	summary := fmt.Sprintf("%s %s %s wait %d expected %d pause %d work %.1f", resultNames[result], upstream, call.Model, call.StartLatency().Milliseconds(), call.ExpectedStart.Milliseconds(), call.MeanGap().Milliseconds(), call.UpstreamWork)
 	if err != nil {
 		summary += " (" + err.Error() + ")"
 	}
--- a/internal/instance/entry/entry.go
+++ b/internal/instance/entry/entry.go
@@ -124,9 +124,10 @@
 	i.initCaches()
 	i.seeds.Store(&s.SeedPeers)
 	i.node = i.newNode(i.started)
+	i.dispatcher.Links().OnChange = i.logLinks
 	i.dialer = &connect.Dialer{
 		Direct:     connect.Direct,
-		Links:      &links.Table{OnChange: i.logLinks},
+		Links:      i.dispatcher.Links(),
 		Candidates: i.node.RelayPeers,
 		Through:    i.node.DialThrough,
 		Peers:      links.Peers{Home: s.DataCenter},
