Relay connections at the product's own interface, too

Cause: the same as at the shared platform's door. Looked for elsewhere: callers of the product's own interface, chat and plain services, were turned away by an instance that reaches no upstream.

Change: instance/uplinks connects an instance to upstreams and lets peers use its links, for both doors. backend/upstreams dials through it, with sockets that detect dead peers, and opens new connections when the links are lost or back, since idle ones would stay where they are.

--- a/internal/backend/upstreams/chat.go
+++ b/internal/backend/upstreams/chat.go
@@ -8,13 +8,13 @@
 	"fmt"
 	"io"
 	"math"
-	"net"
 	"net/http"
 	"strconv"
 	"time"
 
 	"github.com/goccy/go-json"
 
+	"mimosayard/internal/backend/connect"
 	"mimosayard/internal/core/faults"
 	"mimosayard/internal/core/routing"
 )
@@ -161,10 +161,13 @@
 }
 
 // newTransport returns a transport with connections of its own.
-func newTransport() *http.Transport {
-	dialer := &net.Dialer{Timeout: dialTimeout}
+func (c *Client) newTransport() *http.Transport {
+	dial := c.Dial
+	if dial == nil {
+		dial = connect.Direct
+	}
 	return &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext:         dial,
 		DisableCompression:  true,
 		IdleConnTimeout:     idleTimeout,
 		MaxIdleConnsPerHost: maxIdleConnsPerUpstream,
--- a/internal/backend/upstreams/plain.go
+++ b/internal/backend/upstreams/plain.go
@@ -66,7 +66,7 @@
 	request.Header.Set(headerPriority, strconv.Itoa(call.Priority))
 	transport := c.transport(call.Address)
 	if call.AtMostOnce {
-		transport = newTransport()
+		transport = c.newTransport()
 		transport.DisableKeepAlives = true
 	}
 	response, err := transport.RoundTrip(request)
--- a/internal/backend/upstreams/upstreams.go
+++ b/internal/backend/upstreams/upstreams.go
@@ -17,6 +17,7 @@
 	"sync/atomic"
 	"time"
 
+	"mimosayard/internal/backend/connect"
 	"mimosayard/internal/core/faults"
 	"mimosayard/internal/core/routing"
 	"mimosayard/internal/core/tables"
@@ -30,6 +31,8 @@
 	// stream, and for the body of a plain response. Zero means the default.
 	FirstByteTimeout time.Duration
 	ProgressTimeout  time.Duration
+	// Dial connects to upstreams. If it is nil, connections are direct.
+	Dial connect.DialFunc
 
 	mutex sync.Mutex
 	// transports holds one transport for each address.
@@ -57,8 +60,8 @@
 const (
 	defaultFirstByteTimeout = 20 * time.Second
 	defaultProgressTimeout  = 10 * time.Second
-	// dialTimeout is the timeout for connecting, and for the whole of FetchLoad.
-	dialTimeout = time.Second
+	// loadTimeout is the timeout for FetchLoad.
+	loadTimeout = time.Second
 	// idleTimeout is the time after which an idle connection is closed.
 	idleTimeout             = 30 * time.Second
 	maxIdleConnsPerUpstream = 64
@@ -94,10 +97,22 @@
 	}
 }
 
+// Reconnect closes all idle connections. Those that are in use are not used again, so that
+// new calls open new ones.
+func (c *Client) Reconnect() {
+	c.mutex.Lock()
+	former := c.transports
+	c.transports = nil
+	c.mutex.Unlock()
+	for _, transport := range former {
+		transport.CloseIdleConnections()
+	}
+}
+
 // FetchLoad fetches the load report of an upstream within one second. It
 // returns false if the call fails or the answer has no valid report.
 func (c *Client) FetchLoad(ctx context.Context, address string) (routing.LoadReport, bool) {
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/v1/load", nil)
 	if err != nil {
@@ -174,7 +189,7 @@
 		if c.transports == nil {
 			c.transports = map[string]*http.Transport{}
 		}
-		transport = newTransport()
+		transport = c.newTransport()
 		c.transports[address] = transport
 	}
 	return transport
--- a/internal/instance/entry/entry.go
+++ b/internal/instance/entry/entry.go
@@ -20,7 +20,6 @@
 	"mimosayard/internal/backend/connect"
 	"mimosayard/internal/backend/forward"
 	"mimosayard/internal/core/dispatch"
-	"mimosayard/internal/core/links"
 	"mimosayard/internal/core/membership"
 	"mimosayard/internal/core/quarantine"
 	"mimosayard/internal/core/releases"
@@ -31,6 +30,7 @@
 	"mimosayard/internal/instance/delay"
 	"mimosayard/internal/instance/settings"
 	"mimosayard/internal/instance/storecache"
+	"mimosayard/internal/instance/uplinks"
 	"mimosayard/internal/net/sockets"
 	"mimosayard/internal/telemetry/events"
 	"mimosayard/internal/telemetry/logs"
@@ -124,14 +124,7 @@
 	i.initCaches()
 	i.seeds.Store(&s.SeedPeers)
 	i.node = i.newNode(i.started)
-	i.dispatcher.Links().OnChange = i.logLinks
-	i.dialer = &connect.Dialer{
-		Direct:     connect.Direct,
-		Links:      i.dispatcher.Links(),
-		Candidates: i.node.RelayPeers,
-		Through:    i.node.DialThrough,
-		Peers:      links.Peers{Home: s.DataCenter},
-	}
+	i.dialer = uplinks.NewDialer(uplinks.Options{Node: i.node, Links: i.dispatcher.Links(), HasUpstream: i.dispatcher.HasUpstream, Log: i.log})
 	i.ingress = &ingress.Server{
 		Dispatcher:     i.dispatcher,
 		UpstreamClient: forward.New(i.dialer.DialContext),
@@ -263,7 +256,6 @@
 		OnTotals:          i.applyTotals,
 		CallInterval:      peerCallInterval,
 		InexactValueLimit: maxMessageValues,
-		RelayDial:         i.dialForPeer,
 		Documents: peers.Documents{
 			Versions: i.documentVersions,
 			Snapshot: i.snapshot,
@@ -275,18 +267,6 @@
 	}
 }
 
-// dialForPeer connects to an upstream for a peer, over the own link only.
-func (i *Instance) dialForPeer(ctx context.Context, address string) (net.Conn, error) {
-	if !i.dispatcher.HasUpstream(address) {
-		return nil, peers.ErrRelayRefused
-	}
-	conn, err := i.dialer.DialForPeer(ctx, address)
-	if errors.Is(err, connect.ErrOwnLinkLost) {
-		return nil, peers.ErrRelayRefused
-	}
-	return conn, err
-}
-
 // peerKey returns the key that authenticates the messages of peers: the key of
 // the settings, or else the default of the shared platform.
 func (i *Instance) peerKey() []byte {
--- a/internal/instance/entry/tasks.go
+++ b/internal/instance/entry/tasks.go
@@ -175,15 +175,6 @@
 	i.logQuarantineChanges()
 }
 
-// logLinks logs that the own links to upstreams are lost, or back.
-func (i *Instance) logLinks(lost bool, failing int) {
-	if lost {
-		events.LinksLost.Log(i.log, zap.Int("upstreams", failing))
-		return
-	}
-	events.LinksBack.Log(i.log)
-}
-
 // logQuarantineChanges logs the prompt parts that were quarantined or released, and
 // passes those on which this instance decided on to runQuarantine.
 func (i *Instance) logQuarantineChanges() {
--- a/internal/instance/service/service.go
+++ b/internal/instance/service/service.go
@@ -17,10 +17,12 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"mimosayard/internal/backend/connect"
 	"mimosayard/internal/backend/raters"
 	"mimosayard/internal/backend/upstreams"
 	"mimosayard/internal/core/billing"
 	"mimosayard/internal/core/faults"
+	"mimosayard/internal/core/links"
 	"mimosayard/internal/core/membership"
 	"mimosayard/internal/core/router"
 	"mimosayard/internal/core/sessions"
@@ -31,6 +33,7 @@
 	"mimosayard/internal/instance/delay"
 	"mimosayard/internal/instance/idempotency"
 	"mimosayard/internal/instance/settings"
+	"mimosayard/internal/instance/uplinks"
 	"mimosayard/internal/net/sockets"
 	"mimosayard/internal/platform/directory"
 	"mimosayard/internal/platform/objects"
@@ -52,6 +55,7 @@
 	directory *directory.Client
 	raters    *raters.Client
 	upstreams *upstreams.Client
+	dialer    *connect.Dialer
 	metrics   *metrics.Recorder
 	callers   *callers.Server
 
@@ -104,6 +108,10 @@
 	i.router = router.New(s.DataCenter, router.Policy{}, random)
 	i.config.init(i)
 	i.node = i.newNode()
+	i.dialer = uplinks.NewDialer(uplinks.Options{
+		Node: i.node, Links: &links.Table{}, HasUpstream: i.hasUpstream, OnChange: i.upstreams.Reconnect, Log: i.log,
+	})
+	i.upstreams.Dial = i.dialer.DialContext
 	i.initBills()
 	i.keyClaimer = idempotency.KeyStore{Objects: i.objects, Log: i.log}
 	i.callers = i.newCallersServer()
@@ -281,6 +289,22 @@
 	return &operators.Server{Metrics: i.metrics.Handler(), CheckReady: i.checkReady, Status: i.status}
 }
 
+// hasUpstream reports whether an upstream of the configuration in force has the address.
+func (i *Instance) hasUpstream(address string) bool {
+	index := i.router.Index()
+	if index == nil {
+		return false
+	}
+	for _, pool := range index.Config.Pools {
+		for _, upstream := range pool.Upstreams {
+			if upstream.Address == address {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // queueForRating queues an answer for the rating service. If the queue is full,
 // the answer is dropped, since only a sample of the answers needs a rating.
 func (i *Instance) queueForRating(answer raters.Answer) {
--- /dev/null
+++ b/internal/instance/uplinks/uplinks.go
@@ -0,0 +1,63 @@
+// Package uplinks connects an instance to the upstreams, over its own links or its
+// peers', and lets the peers use its links.
+package uplinks
+
+import (
+	"context"
+	"errors"
+	"net"
+
+	"go.uber.org/zap"
+
+	"mimosayard/internal/backend/connect"
+	"mimosayard/internal/core/links"
+	"mimosayard/internal/fleet/peers"
+	"mimosayard/internal/telemetry/events"
+)
+
+// Options are the parts of an instance that its links concern.
+type Options struct {
+	// Node is the instance's node, which must not serve yet.
+	Node  *peers.Node
+	Links *links.Table
+	// HasUpstream reports whether the address is that of an upstream. Connections to
+	// other addresses are not relayed.
+	HasUpstream func(address string) bool
+	// OnChange is called when the own links are lost and when they are back. It may be
+	// nil.
+	OnChange func()
+	Log      *zap.Logger
+}
+
+// NewDialer returns the dialer of an instance, and sets up its node to relay the
+// connections of peers.
+func NewDialer(o Options) *connect.Dialer {
+	dialer := &connect.Dialer{
+		Direct:     connect.Direct,
+		Links:      o.Links,
+		Candidates: o.Node.RelayPeers,
+		Through:    o.Node.DialThrough,
+		Peers:      links.Peers{Home: o.Node.Self.DataCenter},
+	}
+	o.Links.OnChange = func(lost bool, failing int) {
+		if lost {
+			events.LinksLost.Log(o.Log, zap.Int("upstreams", failing))
+		} else {
+			events.LinksBack.Log(o.Log)
+		}
+		if o.OnChange != nil {
+			o.OnChange()
+		}
+	}
+	o.Node.RelayDial = func(ctx context.Context, address string) (net.Conn, error) {
+		if !o.HasUpstream(address) {
+			return nil, peers.ErrRelayRefused
+		}
+		conn, err := dialer.DialForPeer(ctx, address)
+		if errors.Is(err, connect.ErrOwnLinkLost) {
+			return nil, peers.ErrRelayRefused
+		}
+		return conn, err
+	}
+	return dialer
+}
