Leave the retry budget of the own interface to calls that add load

What callers saw: with all upstreams unreachable, the bucket of 20 retries was empty after a few requests, and a request that failed afterwards got no second call.

Cause: the same as at the shared platform's door: a retry was counted although no call of the request had reached an upstream.

Change: a retry after calls that reached none takes no token. Attempts stay bounded.

Measured: after 60 chats at an instance without links, the budget allows no retry before and one after (TestUnreachedCallsLeaveTheRetryBudget).

--- a/internal/edge/callers/attempts.go
+++ b/internal/edge/callers/attempts.go
@@ -1,6 +1,10 @@
 package callers
 
-import "mimosayard/internal/core/faults"
+import (
+	"time"
+
+	"mimosayard/internal/core/faults"
+)
 
 // attemptHistory records the outcomes of the calls made for one request, so
 // that its fault has the run state RunNo only if no upstream can have run it.
@@ -29,6 +33,12 @@
 	return a.withRunState(fault)
 }
 
+// allowsRetry reports whether the retry budget allows a call after a failed one. A call
+// after ones that reached no upstream needs no budget, since it adds no load.
+func (x *exchange) allowsRetry(fault *faults.Error) bool {
+	return fault.Run == faults.RunNo || x.server.Router.AllowRetry(time.Now())
+}
+
 // withRunState returns a copy of the fault whose run state covers all calls.
 func (a *attemptHistory) withRunState(fault *faults.Error) *faults.Error {
 	reported := *fault
--- a/internal/edge/callers/chat.go
+++ b/internal/edge/callers/chat.go
@@ -221,7 +221,7 @@
 			// The caller disconnected: bill the tokens generated so far.
 			c.bill(upstreams.Usage{PromptTokens: c.task.Request.PromptTokens, AnswerTokens: tables.Tokens(c.contentEvents)})
 		}
-		if x.responseStarted || attempt >= maxAttempts || ctx.Err() != nil || !x.server.Router.AllowRetry(time.Now()) {
+		if x.responseStarted || attempt >= maxAttempts || ctx.Err() != nil || !x.allowsRetry(fault) {
 			return fault
 		}
 		attempt++
--- a/internal/edge/callers/plain.go
+++ b/internal/edge/callers/plain.go
@@ -127,7 +127,7 @@
 		}
 		fault = history.recordFailure(faults.FromError(err))
 		retryable := !call.AtMostOnce || fault.Run == faults.RunNo
-		if !retryable || attempt >= maxAttempts || ctx.Err() != nil || !x.server.Router.AllowRetry(time.Now()) {
+		if !retryable || attempt >= maxAttempts || ctx.Err() != nil || !x.allowsRetry(fault) {
 			return upstreams.PlainResponse{}, fault
 		}
 		failedUpstream = step.Choice.Upstream.Config.Name
--- a/internal/instance/service/links_test.go
+++ b/internal/instance/service/links_test.go
@@ -197,3 +197,16 @@
 		})
 	}
 }
+
+// TestUnreachedCallsLeaveTheRetryBudget guards against requests that are given up because
+// others used the retry budget for calls that reached no upstream.
+func TestUnreachedCallsLeaveTheRetryBudget(t *testing.T) {
+	is := is.New(t)
+	f := newTestFleet(t, 1)
+	f.instances[0].cut.Store(true)
+	f.instances[0].upstreams.Reconnect()
+	for range 60 {
+		is.True(f.chat(0) != http.StatusOK)
+	}
+	is.True(f.instances[0].router.AllowRetry(time.Now()))
+}
