Ask a peer whether an upstream or the own link has failed

What callers saw: an instance that calls few upstreams served none of their callers while its links were lost.

Links count as lost after failures at three upstreams; a service with one upstream never shows so many, and at the product's own door no reports of other instances were read at all.

Change: after two failures in a row at an upstream, at most once a second, the connection is tried through one peer. If the peer connects, the own link to that upstream is lost, and the caller is served.

--- a/internal/backend/connect/connect.go
+++ b/internal/backend/connect/connect.go
@@ -52,8 +52,8 @@
 	probeHeadStart = 20 * time.Millisecond
 	// maxPeers bounds the peers that are asked for one connection.
 	maxPeers = 3
-	// maxUnreachable is the number of peers without a link to the upstream from which
-	// the upstream counts as failed.
+	// maxUnreachable is the number of peers that do not reach an upstream from which it
+	// counts as failed although the own link is lost.
 	maxUnreachable = 2
 )
 
@@ -80,16 +80,23 @@
 func (d *Dialer) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
 	switch d.Links.Path(time.Now(), links.Address(address)) {
 	case links.Relayed:
-		return d.throughPeer(ctx, address)
+		return d.throughPeer(ctx, address, maxUnreachable)
 	case links.Probe:
 		return d.probe(ctx, network, address)
 	case links.Direct:
 	}
 	conn, err := d.direct(ctx, network, address)
-	if err == nil || ctx.Err() != nil || !d.Links.Lost(time.Now(), links.Address(address)) {
+	if err == nil || ctx.Err() != nil {
 		return conn, trace.Wrap(err)
 	}
-	return d.throughPeer(ctx, address)
+	now := time.Now()
+	switch {
+	case d.Links.Lost(now, links.Address(address)):
+		return d.throughPeer(ctx, address, maxUnreachable)
+	case d.Links.NeedsOpinion(now, links.Address(address)):
+		return d.throughPeer(ctx, address, 1)
+	}
+	return nil, trace.Wrap(err)
 }
 
 // DialForPeer connects to an upstream for a peer, over the own link only, so that no
@@ -143,11 +150,12 @@
 		}
 	case <-timer.C:
 	}
-	return d.throughPeer(ctx, address)
+	return d.throughPeer(ctx, address, maxUnreachable)
 }
 
-// throughPeer connects through a peer. It asks others if one takes no connection.
-func (d *Dialer) throughPeer(ctx context.Context, address string) (net.Conn, error) {
+// throughPeer connects through a peer. It asks others if one takes no connection, or
+// cannot reach the upstream, up to the given number of the latter.
+func (d *Dialer) throughPeer(ctx context.Context, address string, unreachableLimit int) (net.Conn, error) {
 	if d.Candidates == nil {
 		return nil, trace.Wrap(errNoPeer)
 	}
@@ -163,7 +171,7 @@
 		candidates = slices.Delete(candidates, n, n+1)
 		conn, err := d.Through(ctx, peer, address)
 		if err == nil {
-			d.Links.RecordElsewhere(time.Now(), links.Address(address))
+			d.Links.RecordRelayed(time.Now(), links.Address(address), true)
 			d.Peers.Opened(peer)
 			return &peerConn{Conn: conn, peer: peer, closed: sync.OnceFunc(func() { d.Peers.Closed(peer) })}, nil
 		}
@@ -175,8 +183,8 @@
 			d.Peers.Refused(time.Now(), peer)
 			continue
 		}
-		if unreachable++; unreachable == maxUnreachable {
-			d.Links.RecordUnreachable(links.Address(address))
+		if unreachable++; unreachable == unreachableLimit {
+			d.Links.RecordRelayed(time.Now(), links.Address(address), false)
 			break
 		}
 	}
--- a/internal/core/dispatch/evidence.go
+++ b/internal/core/dispatch/evidence.go
@@ -6,7 +6,6 @@
 
 	"mimosayard/internal/core/aggregates"
 	"mimosayard/internal/core/catalog"
-	"mimosayard/internal/core/links"
 	"mimosayard/internal/core/placement"
 	"mimosayard/internal/core/releases"
 	"mimosayard/internal/core/tables"
@@ -111,11 +110,7 @@
 		for _, u := range s.upstreams {
 			work := upstreamKey(valueWork, u)
 			u.OthersWork = totals.Others(reported, work)
-			runs, fails := upstreamKey(valueRuns, u), upstreamKey(valueFails, u)
-			u.SetFleetCounts(now, totals[runs], totals[fails])
-			if u.SetOthersAnswers(totals.Others(reported, runs) - totals.Others(reported, fails)) {
-				d.links.RecordElsewhere(now, links.Address(u.Address))
-			}
+			u.SetFleetCounts(now, totals[upstreamKey(valueRuns, u)], totals[upstreamKey(valueFails, u)])
 		}
 		verdicts = append(verdicts, d.judgeRollout(s, totals, reported)...)
 	}
--- a/internal/core/dispatch/links_test.go
+++ b/internal/core/dispatch/links_test.go
@@ -7,10 +7,8 @@
 
 	"github.com/matryer/is"
 
-	"mimosayard/internal/core/aggregates"
 	"mimosayard/internal/core/catalog"
 	"mimosayard/internal/core/links"
-	"mimosayard/internal/core/placement"
 	"mimosayard/internal/core/quarantine"
 	"mimosayard/internal/core/tables"
 )
@@ -116,33 +114,3 @@
 	d.StartAnswer(now.Add(450*time.Millisecond), task, call, -1)
 	is.Equal(call.StartLatency(), 50*time.Millisecond)
 }
-
-// TestFleetShowsLostLinks guards against a single link that stays in use although the
-// other instances reach the upstream behind it.
-func TestFleetShowsLostLinks(t *testing.T) {
-	is := is.New(t)
-	d, entries := newLinksDispatcher()
-	address := links.Address(entries[0].Address)
-	for _, entry := range entries {
-		d.Links().RecordSuccess(now, links.Address(entry.Address))
-	}
-	d.Links().RecordFailure(now, address)
-	u := d.services["llm"].upstreams[0]
-	totals := map[string]float64{}
-	for i := range 5 {
-		totals[valueRuns] += 10
-		later := now.Add(time.Duration(i) * time.Second)
-		d.ApplyTotals(later, aggregatesOf(u, totals), nil)
-	}
-	is.True(d.Links().Lost(now.Add(4*time.Second), address))
-	is.True(!d.Links().Lost(now.Add(4*time.Second), links.Address(entries[1].Address)))
-}
-
-// aggregatesOf returns totals with the values of one upstream.
-func aggregatesOf(u *placement.Upstream, values map[string]float64) aggregates.Values {
-	totals := aggregates.Values{}
-	for name, value := range values {
-		totals[upstreamKey(name, u)] = value
-	}
-	return totals
-}
--- a/internal/core/links/links.go
+++ b/internal/core/links/links.go
@@ -2,8 +2,8 @@
 // have failed, and decides which connections go through a peer.
 //
 // One connection that fails shows neither. The own links are lost if connections to
-// several upstreams fail and none succeeds in between, or, for a single upstream, if
-// other instances reach it after it was last reached from here.
+// several upstreams fail and none succeeds in between, or, for a single upstream, if a
+// peer reaches it while connections from here fail.
 package links
 
 import (
@@ -55,10 +55,12 @@
 	// connectedAt is the latest success. failingSince is the first failure after it,
 	// zero if there is none.
 	connectedAt, failingSince time.Time
-	// reachedElsewhereAt is when another instance last reached the upstream.
-	reachedElsewhereAt time.Time
-	// nextProbe is the earliest time of the next probe of this link.
-	nextProbe time.Time
+	// relayedAt is when a peer last reached the upstream, zero if the latest one that
+	// tried did not.
+	relayedAt time.Time
+	// nextProbe is the earliest time of the next probe of this link, nextOpinion that
+	// at which a peer may be asked whether it reaches the upstream.
+	nextProbe, nextOpinion time.Time
 	// failures counts the failures since the latest success.
 	failures int
 }
@@ -67,11 +69,12 @@
 	// minLinks is the number of links that decide on all: so many fail before the
 	// links count as lost, and so many work before they count as back.
 	minLinks = 3
-	// reportDelay is the age that what other instances report may have. A later
-	// report shows that an upstream works although the own link to it fails.
-	reportDelay = time.Second
-	// reportTTL is how long a report of other instances counts.
-	reportTTL = 5 * time.Second
+	// minFailures is the number of failures in a row from which a peer is asked whether
+	// it reaches an upstream, and opinionInterval the time between two such questions.
+	minFailures     = 2
+	opinionInterval = time.Second
+	// relayTTL is how long it counts that a peer has reached an upstream.
+	relayTTL = 5 * time.Second
 	// probeInterval is the time between two probes. It is shorter after probes that
 	// succeeded.
 	probeInterval = 250 * time.Millisecond
@@ -154,21 +157,30 @@
 	}
 }
 
-// RecordElsewhere records that another instance has reached an address.
-func (t *Table) RecordElsewhere(now time.Time, address Address) {
+// NeedsOpinion reports whether a peer is to be asked now whether it reaches an address,
+// since connections from here fail.
+func (t *Table) NeedsOpinion(now time.Time, address Address) bool {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	if l := t.links[address]; l != nil {
-		l.reachedElsewhereAt = now
+	l := t.links[address]
+	if l == nil || l.failures < minFailures || now.Before(l.nextOpinion) {
+		return false
 	}
+	l.nextOpinion = now.Add(opinionInterval)
+	return true
 }
 
-// RecordUnreachable records that a peer could not reach an address either.
-func (t *Table) RecordUnreachable(address Address) {
+// RecordRelayed records whether a peer has reached an address.
+func (t *Table) RecordRelayed(now time.Time, address Address, reached bool) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	if l := t.links[address]; l != nil {
-		l.reachedElsewhereAt = time.Time{}
+	l := t.links[address]
+	switch {
+	case l == nil:
+	case reached:
+		l.relayedAt = now
+	default:
+		l.relayedAt = time.Time{}
 	}
 }
 
@@ -181,7 +193,7 @@
 	if l == nil || l.failingSince.IsZero() {
 		return false
 	}
-	return l.reachedElsewhereAt.Sub(l.failingSince) > reportDelay && now.Sub(l.reachedElsewhereAt) < reportTTL
+	return l.relayedAt.After(l.connectedAt) && now.Sub(l.relayedAt) < relayTTL
 }
 
 // decisiveLinks returns the number of links that decide on all. It is less than
--- a/internal/core/links/links_test.go
+++ b/internal/core/links/links_test.go
@@ -74,22 +74,37 @@
 		table.RecordFailure(after(time.Second), "b")
 		is.New(t).True(table.AllLost())
 	})
-	t.Run("an upstream that others reach later is behind a lost link", func(t *testing.T) {
+	t.Run("an upstream that a peer reaches is behind a lost link", func(t *testing.T) {
 		table := newTable("a", "b", "c", "d")
 		table.RecordFailure(after(time.Second), "a")
-		table.RecordElsewhere(after(1500*time.Millisecond), "a")
-		assertPath(t, table, 1500*time.Millisecond, "a", Direct)
-		table.RecordElsewhere(after(2500*time.Millisecond), "a")
-		is.New(t).True(table.Lost(after(2500*time.Millisecond), "a"))
-		is.New(t).True(!table.Lost(after(2500*time.Millisecond), "b"))
+		is.New(t).True(!table.NeedsOpinion(after(time.Second), "a"))
+		table.RecordFailure(after(time.Second), "a")
+		is.New(t).True(table.NeedsOpinion(after(time.Second), "a"))
+		table.RecordRelayed(after(time.Second), "a", true)
+		is.New(t).True(table.Lost(after(2*time.Second), "a"))
+		is.New(t).True(!table.Lost(after(2*time.Second), "b"))
 		is.New(t).True(!table.Lost(after(9*time.Second), "a"))
+		table.RecordSuccess(after(2*time.Second), "a")
+		is.New(t).True(!table.Lost(after(2*time.Second), "a"))
 	})
 	t.Run("an upstream that no peer reaches has failed", func(t *testing.T) {
 		table := newTable("a", "b", "c", "d")
 		table.RecordFailure(after(time.Second), "a")
-		table.RecordElsewhere(after(3*time.Second), "a")
-		table.RecordUnreachable("a")
-		is.New(t).True(!table.Lost(after(3*time.Second), "a"))
+		table.RecordRelayed(after(time.Second), "a", true)
+		table.RecordRelayed(after(time.Second), "a", false)
+		is.New(t).True(!table.Lost(after(time.Second), "a"))
+	})
+	t.Run("peers are asked about a failed upstream now and then", func(t *testing.T) {
+		table := newTable("a", "b", "c", "d")
+		asked := 0
+		for i := range 100 {
+			at := after(time.Duration(i) * 100 * time.Millisecond)
+			table.RecordFailure(at, "a")
+			if table.NeedsOpinion(at, "a") {
+				asked++
+			}
+		}
+		is.New(t).Equal(asked, 10)
 	})
 }
 
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -52,8 +52,6 @@
 	// FleetCalls and FleetFailures are the same counts over the whole fleet.
 	FleetCalls    float64
 	FleetFailures float64
-	// othersAnswers is the number of recent answers to calls of other instances.
-	othersAnswers float64
 
 	// drainingSince is when the upstream was first seen to drain, zero while it
 	// is ready.
@@ -191,14 +189,6 @@
 	u.FleetCalls, u.FleetFailures = calls, failures
 }
 
-// SetOthersAnswers sets the number of recent answers to calls of other instances, and
-// reports whether there are new ones.
-func (u *Upstream) SetOthersAnswers(answers float64) bool {
-	increased := answers > u.othersAnswers
-	u.othersAnswers = answers
-	return increased
-}
-
 // MarkLeaving records that the upstream has said that it is leaving.
 func (u *Upstream) MarkLeaving(now time.Time) {
 	u.leaving = true
