Finish relayed connections before an instance stops

What callers saw: a stream of a cut instance broke in the middle when the peer that carries it was stopped.

Cause: the drain of the product's own interface waited for its own callers only. At the shared platform's it waited for relays already, without a test. Class of fault: work that is held for others isn't counted as in progress.

Change: an instance that stops refuses new relays and waits for those it carries, within the drain time.

--- a/internal/fleet/peers/node.go
+++ b/internal/fleet/peers/node.go
@@ -101,6 +101,7 @@
 	// those that this process has asked for.
 	relays        atomic.Int64
 	relaySequence atomic.Uint64
+	relaysRefused atomic.Bool
 	// relayCallers tells which relay requests of a peer were received.
 	relayCallers map[tables.InstanceID]*replayWindow
 	// wake triggers a call to the parent before the next tick.
@@ -201,9 +202,11 @@
 }
 
 // Leave sets this instance's state to leaving and calls the parent, from which
-// the new state spreads through the fleet. A failure of the call is ignored.
+// the new state spreads through the fleet. A failure of the call is ignored. From then
+// on the node refuses relays.
 func (n *Node) Leave(ctx context.Context) {
 	n.init()
+	n.RefuseRelays()
 	n.mutex.Lock()
 	n.view.SetState(membership.Leaving)
 	n.mutex.Unlock()
--- a/internal/fleet/peers/relay.go
+++ b/internal/fleet/peers/relay.go
@@ -98,6 +98,12 @@
 	return peers
 }
 
+// RefuseRelays makes the node refuse further connections of its peers. Those that it
+// relays continue.
+func (n *Node) RefuseRelays() {
+	n.relaysRefused.Store(true)
+}
+
 // Relays returns the number of connections that this instance relays for its peers.
 func (n *Node) Relays() int64 {
 	return n.relays.Load()
@@ -304,14 +310,11 @@
 // connectForPeer connects to an upstream and counts the relay. It returns nil if
 // there is no connection.
 func (n *Node) connectForPeer(ctx context.Context, address string) (net.Conn, relayStatus) {
-	n.mutex.Lock()
-	leaving := n.view.Self().State != membership.Up
-	n.mutex.Unlock()
 	limit := int64(n.RelayLimit)
 	if limit <= 0 {
 		limit = defaultRelayLimit
 	}
-	if n.RelayDial == nil || leaving {
+	if n.RelayDial == nil || n.relaysRefused.Load() {
 		return nil, relayRefused
 	}
 	if n.relays.Add(1) > limit {
--- a/internal/fleet/peers/relay_test.go
+++ b/internal/fleet/peers/relay_test.go
@@ -179,6 +179,17 @@
 		is.New(t).True(errors.Is(err, links.ErrUnreachable))
 		is.New(t).True(time.Since(began) < relayOpenTimeout)
 	})
+	t.Run("an instance that is leaving", func(t *testing.T) {
+		is := is.New(t)
+		p := newRelayPair(t, nil)
+		client, upstream := p.connect(t)
+		p.through.node.Leave(t.Context())
+		_, err := p.dial(t)
+		is.True(errors.Is(err, ErrRelayRefused))
+		_, err = upstream.Write([]byte("more"))
+		is.NoErr(err)
+		assertRead(t, client, "more")
+	})
 	t.Run("an instance without relays", func(t *testing.T) {
 		p := newRelayPair(t, nil)
 		p.through.node.RelayDial = nil
--- a/internal/instance/entry/links_test.go
+++ b/internal/instance/entry/links_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -40,6 +41,8 @@
 type testInstance struct {
 	*Instance
 	callers string
+	// stop begins the instance's shutdown.
+	stop context.CancelFunc
 	// cut connects in place of the own links while it is not nil.
 	cut atomic.Pointer[connect.DialFunc]
 }
@@ -47,6 +50,9 @@
 // waitTimeout bounds each wait of a test. It ends only tests that have failed.
 const waitTimeout = 10 * time.Second
 
+// eventsPerStream is the number of events of a stream, one each 10 ms.
+const eventsPerStream = 40
+
 var fleetCount atomic.Int64
 
 // refusedLink fails at once, as a link that a firewall rejects.
@@ -74,23 +80,26 @@
 		"services":[{"name":"s"}],"limits":{"max_header_bytes":16384,"max_body_bytes":1048576}}`)
 	for n := range upstreams {
 		id := fmt.Sprintf("i-%d", n)
-		server := httptest.NewServer((&sharedplatform.Upstream{ID: id, EventsPerStream: 5, EventInterval: 10 * time.Millisecond}).Handler())
+		server := httptest.NewServer((&sharedplatform.Upstream{ID: id, EventsPerStream: eventsPerStream, EventInterval: 10 * time.Millisecond}).Handler())
 		t.Cleanup(server.CloseClientConnections)
 		f.upstreams = append(f.upstreams, server)
 		f.putObject("servers", id, fmt.Sprintf(`{"service":"s","address":%q,"zone":"dc-0","version":"v1","slots":64,"state":"ready","born":7,"sequence":1}`,
 			server.Listener.Addr()))
 	}
-	ctx, cancel := context.WithCancel(context.Background())
 	group := &errgroup.Group{}
-	t.Cleanup(func() {
-		cancel()
-		_ = group.Wait()
-	})
 	for n := range instances {
+		ctx, cancel := context.WithCancel(context.Background())
 		i := f.newInstance(n)
+		i.stop = cancel
 		f.instances = append(f.instances, i)
 		group.Go(func() error { return i.Run(ctx) })
 	}
+	t.Cleanup(func() {
+		for _, i := range f.instances {
+			i.stop()
+		}
+		_ = group.Wait()
+	})
 	for n, i := range f.instances {
 		f.await(fmt.Sprintf("instance %d knows the others and serves", n), func() bool {
 			return len(i.node.Members()) == instances && f.status(n, "GET", "/safe/x") == http.StatusOK
@@ -115,6 +124,7 @@
 		PeersAddress:     address(8082),
 		PeerKey:          []byte("a key for the tests of the links"),
 		SeedPeers:        []string{f.subnet + ".10:8082", f.subnet + ".11:8082"},
+		BalancerLag:      10,
 		Shared:           &settings.SharedPlatform{StoreAddress: f.store.Listener.Addr().String(), ReadyAddress: address(8083), StopGrace: 2},
 	})
 	if err != nil {
@@ -162,20 +172,28 @@
 	is.New(f.t).Equal(response.StatusCode, http.StatusOK)
 }
 
-// status sends a request with a new ID to an instance and returns the status, zero
-// if there is no answer.
-func (f *testFleet) status(index int, method, path string) int {
+// send sends a request with a new ID to an instance.
+func (f *testFleet) send(index int, method, path string) (*http.Response, error) {
 	request, err := http.NewRequestWithContext(f.t.Context(), method, "http://"+f.instances[index].callers+path, http.NoBody)
 	if err != nil {
-		return 0
+		return nil, err
 	}
 	request.Host = "h"
 	request.Header.Set("X-Attempt-Id", fmt.Sprintf("id-%d", f.requests.Add(1)))
-	response, err := http.DefaultClient.Do(request)
+	return http.DefaultClient.Do(request)
+}
+
+// status sends a request to an instance and returns the status, zero if the answer is
+// not complete.
+func (f *testFleet) status(index int, method, path string) int {
+	response, err := f.send(index, method, path)
 	if err != nil {
 		return 0
 	}
-	_ = response.Body.Close()
+	defer response.Body.Close()
+	if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		return 0
+	}
 	return response.StatusCode
 }
 
@@ -224,6 +242,25 @@
 	is.True(f.instances[0].dispatcher.Links().AllLost())
 }
 
+// TestStoppingPeerFinishesRelays guards against streams of a cut instance that break
+// because the peer that carries them is stopped.
+func TestStoppingPeerFinishesRelays(t *testing.T) {
+	is := is.New(t)
+	f := newTestFleet(t, 2, 4)
+	f.instances[0].cutLinks(refusedLink)
+	f.await("streams go through the peer", func() bool {
+		return f.status(0, "GET", "/stream/x") == http.StatusOK && f.instances[0].dispatcher.Links().AllLost()
+	})
+	response, err := f.send(0, "GET", "/stream/x")
+	is.NoErr(err)
+	defer response.Body.Close()
+	is.Equal(f.instances[1].node.Relays(), int64(1))
+	f.instances[1].stop()
+	body, err := io.ReadAll(response.Body)
+	is.NoErr(err)
+	is.Equal(strings.Count(string(body), "id:"), eventsPerStream)
+}
+
 // TestCallersOfCutInstancesAreServed guards against callers that are turned away because
 // they came to instances that have lost their own links to the upstreams.
 func TestCallersOfCutInstancesAreServed(t *testing.T) {
--- a/internal/instance/service/links_test.go
+++ b/internal/instance/service/links_test.go
@@ -41,7 +41,9 @@
 type testInstance struct {
 	*Instance
 	callers string
-	cut     atomic.Bool
+	// stop begins the instance's shutdown.
+	stop context.CancelFunc
+	cut  atomic.Bool
 }
 
 const waitTimeout = 20 * time.Second
@@ -63,7 +65,7 @@
 	f := &testFleet{t: t, platform: "http://" + startServer(t, (&platform.Server{}).Handler())}
 	pool := tables.Pool{Name: "small", Service: "llm", Kind: tables.KindModel, Model: "small", Version: "v1", PromptCost: 1, AnswerCost: 1, Concurrency: 64}
 	for n := range 3 {
-		address := startServer(t, (&engine.Server{Model: "small", Version: "v1", Quality: 1, Slots: 64, FirstTokenDelay: time.Millisecond, TokenInterval: time.Millisecond}).Handler())
+		address := startServer(t, (&engine.Server{Model: "small", Version: "v1", Quality: 1, Slots: 64, FirstTokenDelay: time.Millisecond, TokenInterval: 5 * time.Millisecond}).Handler())
 		pool.Upstreams = append(pool.Upstreams, tables.Upstream{Name: tables.UpstreamID(fmt.Sprintf("small-%d", n)), Address: address, DataCenter: "dc-0"})
 	}
 	f.desk = startServer(t, (&plainservice.Server{}).Handler())
@@ -76,15 +78,18 @@
 		{Team: "team", Service: "llm", Class: "chat", Credentials: []string{tables.HashCredential("team")}, Pools: []tables.PoolID{"small"}, Deadline: 5000, Idempotent: true},
 		{Team: "team", Service: "orders", Class: "place", Credentials: []string{tables.HashCredential("team")}, Methods: []string{"POST"}, Pools: []tables.PoolID{"desk"}, Deadline: 5000},
 	}})
-	ctx, cancel := context.WithCancel(context.Background())
 	group := &errgroup.Group{}
 	t.Cleanup(func() {
-		cancel()
+		for _, i := range f.instances {
+			i.stop()
+		}
 		_ = group.Wait()
 	})
 	subnet := fmt.Sprintf("127.%d.%d", 192+os.Getpid()%60, 100+fleetCount.Add(1))
 	for n := range instances {
+		ctx, cancel := context.WithCancel(context.Background())
 		i := f.newInstance(n, subnet)
+		i.stop = cancel
 		f.instances = append(f.instances, i)
 		group.Go(func() error { return i.Run(ctx) })
 	}
@@ -137,15 +142,20 @@
 	is.New(f.t).NoErr(err)
 }
 
-// post sends a request to an instance and returns the status, zero if the answer is not
-// complete.
-func (f *testFleet) post(index int, path, body string) int {
+// send sends a request to an instance.
+func (f *testFleet) send(index int, path, body string) (*http.Response, error) {
 	request, err := http.NewRequestWithContext(f.t.Context(), http.MethodPost, "http://"+f.instances[index].callers+path, strings.NewReader(body))
 	if err != nil {
-		return 0
+		return nil, err
 	}
 	request.Header.Set("Authorization", "Bearer team")
-	response, err := http.DefaultClient.Do(request)
+	return http.DefaultClient.Do(request)
+}
+
+// post sends a request to an instance and returns the status, zero if the answer is not
+// complete.
+func (f *testFleet) post(index int, path, body string) int {
+	response, err := f.send(index, path, body)
 	if err != nil {
 		return 0
 	}
@@ -157,9 +167,14 @@
 }
 
 func (f *testFleet) chat(index int) int {
-	return f.post(index, "/v1/chat/completions", `{"model":"llm","stream":true,"messages":[{"role":"user","content":"how do I dress this wheel"}]}`)
+	return f.post(index, chatPath, chatBody)
 }
 
+const (
+	chatPath = "/v1/chat/completions"
+	chatBody = `{"model":"llm","stream":true,"messages":[{"role":"user","content":"how do I dress this wheel"}]}`
+)
+
 func (f *testFleet) await(what string, condition func() bool) {
 	f.t.Helper()
 	deadline := time.After(waitTimeout)
@@ -210,3 +225,20 @@
 	}
 	is.True(f.instances[0].router.AllowRetry(time.Now()))
 }
+
+// TestStoppingPeerFinishesRelays guards against streams of a cut instance that break
+// because the peer that carries them is stopped.
+func TestStoppingPeerFinishesRelays(t *testing.T) {
+	is := is.New(t)
+	f := newTestFleet(t, 2)
+	f.instances[0].cut.Store(true)
+	f.instances[0].upstreams.Reconnect()
+	f.await("chats go through the peer", func() bool { return f.chat(0) == http.StatusOK })
+	response, err := f.send(0, chatPath, chatBody)
+	is.NoErr(err)
+	defer response.Body.Close()
+	f.instances[1].stop()
+	body, err := io.ReadAll(response.Body)
+	is.NoErr(err)
+	is.True(strings.HasSuffix(string(body), "data: [DONE]\n\n"))
+}
--- a/internal/instance/service/service.go
+++ b/internal/instance/service/service.go
@@ -85,6 +85,8 @@
 	ratingQueueSize   = 1024
 	// leaveTimeout bounds flushing the bills and leaving the fleet.
 	leaveTimeout = 5 * time.Second
+	// drainCheckInterval is the time between two checks for relayed connections.
+	drainCheckInterval = 50 * time.Millisecond
 )
 
 // New returns an instance with the settings. It opens no sockets before Run.
@@ -175,12 +177,15 @@
 	i.stopping.Store(true)
 	events.InstanceStopping.Log(i.log)
 	server.SetKeepAlivesEnabled(false)
+	i.node.RefuseRelays()
 	delay.Sleep(ctx, i.settings.BalancerLag.Duration())
 	drainCtx, cancel := context.WithTimeout(ctx, i.settings.DrainTimeout.Duration())
 	defer cancel()
 	if err := server.Shutdown(drainCtx); err != nil {
 		events.DrainTimedOut.Log(i.log, zap.Int64("in_progress", i.callers.InFlight()))
 	}
+	for i.node.Relays() > 0 && delay.Sleep(drainCtx, drainCheckInterval) {
+	}
 	leaveCtx, cancelLeave := context.WithTimeout(ctx, leaveTimeout)
 	defer cancelLeave()
 	i.bills.Flush(leaveCtx)
