Test answers whose peer is lost in the middle

Cause: what a fix of the lost links must survive; the cases had no test.

Change: at the shared platform's door, a peer lost after 1 to 400 bytes of a stream, in an answer that must not run twice, and in one without a length.

Measured: streams are whole after one resumption; the others get 502, may have run.

--- a/internal/edge/ingress/ingress_test.go
+++ b/internal/edge/ingress/ingress_test.go
@@ -26,6 +26,7 @@
 	"mimosayard/internal/backend/forward"
 	"mimosayard/internal/core/catalog"
 	"mimosayard/internal/core/dispatch"
+	"mimosayard/internal/core/links"
 	"mimosayard/internal/core/releases"
 	"mimosayard/internal/core/retries"
 	"mimosayard/internal/core/tables"
@@ -551,3 +552,76 @@
 	assertStatus(t, response, err, http.StatusServiceUnavailable)
 	is.New(t).True(strings.Contains(body, `"run":"no"`))
 }
+
+// lossyPeer returns a function that connects to upstreams through a peer that is lost once
+// an answer has brought the number of bytes. Later connections are direct.
+func lossyPeer(limit int) connect.DialFunc {
+	var lost atomic.Bool
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := connect.Direct(ctx, network, address)
+		if err != nil || lost.Swap(true) {
+			return conn, err
+		}
+		return &lostConn{Conn: conn, left: limit}, nil
+	}
+}
+
+// lostConn is a connection that is lost with its peer after some bytes.
+type lostConn struct {
+	net.Conn
+	left int
+}
+
+func (c *lostConn) Read(buffer []byte) (int, error) {
+	if c.left <= 0 {
+		return 0, links.ErrPeerLost
+	}
+	count, err := c.Conn.Read(buffer[:min(len(buffer), c.left)])
+	c.left -= count
+	return count, err
+}
+
+// TestLostPeer guards against an answer that looks complete, a request that runs twice, and
+// a stream with a gap, when the peer that carries the connection is lost.
+func TestLostPeer(t *testing.T) {
+	stream := func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-Attempt-Id", r.Header.Get("X-Attempt-Id"))
+		w.Header().Set("Content-Type", "text/event-stream")
+		first, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+		for id := first + 1; id <= 20; id++ {
+			_, _ = fmt.Fprintf(w, "id: %d\ndata: some text\n\n", id)
+			_ = http.NewResponseController(w).Flush()
+		}
+	}
+	t.Run("a stream is resumed after its last event", func(t *testing.T) {
+		for _, limit := range []int{1, 150, 300, 400} {
+			is := is.New(t)
+			ti := newTestIngressWithDialer(t, lossyPeer(limit), stream)
+			response, body, err := ti.get(t, "/stream/x")
+			assertStatus(t, response, err, http.StatusOK)
+			var want strings.Builder
+			for id := range 20 {
+				_, _ = fmt.Fprintf(&want, "id: %d\ndata: some text\n\n", id+1)
+			}
+			is.Equal(body, want.String())
+			is.Equal(ti.runs.Load(), int64(2))
+		}
+	})
+	t.Run("a request that must not run twice may have run", func(t *testing.T) {
+		ti := newTestIngressWithDialer(t, lossyPeer(10), echo)
+		response, body, err := ti.get(t, "/unsafe/x")
+		assertStatus(t, response, err, http.StatusBadGateway)
+		is.New(t).True(strings.Contains(body, `"run":"unknown"`))
+		is.New(t).Equal(ti.runs.Load(), int64(1))
+	})
+	t.Run("an answer without a length does not look complete", func(t *testing.T) {
+		unframed := func(w http.ResponseWriter, r *http.Request) {
+			conn, _, _ := http.NewResponseController(w).Hijack()
+			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\n\r\n%s", r.Header.Get("X-Attempt-Id"), strings.Repeat("x", 1000))
+			_ = conn.Close()
+		}
+		ti := newTestIngressWithDialer(t, lossyPeer(500), unframed)
+		response, _, err := ti.get(t, "/unsafe/x")
+		assertStatus(t, response, err, http.StatusBadGateway)
+	})
+}
