Bound relayed connections by the instance's memory

Cause: 256 relays, the former limit, is one number for all machines; where four of five instances of a large fleet are cut, the others need more, and each relay took up to 265 kB at both ends, since messages of 16 KiB double DRPC's buffers.

Change: four relays for each MiB of memory, 1,024 if it isn't known; messages fit into 4 KiB. Gauges links_lost and relays at both doors, and in the status.

Measured: TestRelaysFitInMemory, 200 connections with 4 KiB both ways, 265,584 bytes for both ends of one before, 93,716 after; wanted: under 128 KiB, so that the limit of relays takes a quarter of the memory at most.

--- a/internal/fleet/peers/relay.go
+++ b/internal/fleet/peers/relay.go
@@ -69,8 +69,9 @@
 )
 
 const (
-	// relayChunkBytes bounds the data of one message.
-	relayChunkBytes = 16 << 10
+	// relayChunkBytes bounds the data of one message, so that it fits into DRPC's
+	// buffers of 4 KiB.
+	relayChunkBytes = 4<<10 - 128
 	// relayConnectTimeout bounds a peer's time for connecting to the upstream. It is
 	// several times the round-trip time within a region.
 	relayConnectTimeout = 250 * time.Millisecond
@@ -78,7 +79,7 @@
 	relayOpenTimeout = 350 * time.Millisecond
 	// defaultRelayLimit is the number of connections that an instance relays at once
 	// if Node.RelayLimit is zero.
-	defaultRelayLimit = 256
+	defaultRelayLimit = 1024
 )
 
 // ErrRelayRefused is returned for a connection that a peer does not relay.
--- a/internal/fleet/peers/relay_test.go
+++ b/internal/fleet/peers/relay_test.go
@@ -7,6 +7,7 @@
 	"errors"
 	"io"
 	"net"
+	"runtime"
 	"testing"
 	"time"
 
@@ -273,3 +274,40 @@
 	})
 	return group
 }
+
+// TestRelaysFitInMemory guards against relayed connections that take more memory than the
+// limit on their number allows for.
+func TestRelaysFitInMemory(t *testing.T) {
+	const (
+		connections = 200
+		// maxBytes is the memory for both ends of a connection, in one process here.
+		maxBytes = 128 << 10
+	)
+	is := is.New(t)
+	p := newRelayPair(t, nil)
+	client, upstream := p.connect(t)
+	_, err := client.Write([]byte("warm up"))
+	is.NoErr(err)
+	assertRead(t, upstream, "warm up")
+	before := memoryInUse()
+	for range connections {
+		client, upstream := p.connect(t)
+		_, err := client.Write(make([]byte, relayChunkBytes))
+		is.NoErr(err)
+		assertRead(t, upstream, string(make([]byte, relayChunkBytes)))
+		_, err = upstream.Write(make([]byte, relayChunkBytes))
+		is.NoErr(err)
+		assertRead(t, client, string(make([]byte, relayChunkBytes)))
+	}
+	perConnection := (memoryInUse() - before) / connections
+	t.Logf("%d bytes for both ends of a connection", perConnection)
+	is.True(perConnection < maxBytes)
+}
+
+// memoryInUse returns the bytes of the heap and the stacks in use.
+func memoryInUse() int64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return int64(stats.HeapInuse + stats.StackInuse)
+}
--- a/internal/instance/entry/entry.go
+++ b/internal/instance/entry/entry.go
@@ -124,7 +124,7 @@
 	i.initCaches()
 	i.seeds.Store(&s.SeedPeers)
 	i.node = i.newNode(i.started)
-	i.dialer = uplinks.NewDialer(uplinks.Options{Node: i.node, Links: i.dispatcher.Links(), HasUpstream: i.dispatcher.HasUpstream, Log: i.log})
+	i.dialer = uplinks.NewDialer(uplinks.Options{Node: i.node, Links: i.dispatcher.Links(), HasUpstream: i.dispatcher.HasUpstream, MemoryMB: s.Shared.MemoryMB, Log: i.log})
 	i.ingress = &ingress.Server{
 		Dispatcher:     i.dispatcher,
 		UpstreamClient: forward.New(i.dialer.DialContext),
--- a/internal/instance/entry/tasks.go
+++ b/internal/instance/entry/tasks.go
@@ -20,6 +20,7 @@
 	"mimosayard/internal/instance/settings"
 	"mimosayard/internal/instance/storecache"
 	"mimosayard/internal/telemetry/events"
+	"mimosayard/internal/telemetry/metrics"
 	"mimosayard/platform"
 )
 
@@ -323,21 +324,14 @@
 		}
 		i.metrics.SetGauge("store_calls", float64(i.store.Calls()))
 		i.metrics.SetGauge("in_flight", float64(i.ingress.InFlight()))
-		i.metrics.SetGauge("links_lost", boolGauge(i.dialer.Links.AllLost()))
+		i.metrics.SetGauge("relays", float64(i.node.Relays()))
+		i.metrics.SetGauge("links_lost", metrics.Bool(i.dialer.Links.AllLost()))
 		i.metrics.SetGauge("quarantined_parts", float64(i.dispatcher.QuarantinedParts()))
 		i.metrics.SetGauge("peers", float64(len(i.node.Members())))
 	}
 	return nil
 }
 
-// boolGauge returns the value of a gauge that is 1 while a condition holds.
-func boolGauge(condition bool) float64 {
-	if condition {
-		return 1
-	}
-	return 0
-}
-
 // logFirstReady logs, at most once, that the instance is ready.
 func (i *Instance) logFirstReady() {
 	if i.checkReady() == nil && i.readyLogged.CompareAndSwap(false, true) {
@@ -419,6 +413,7 @@
 		"upstreams":   i.dispatcher.UsableUpstreamCount(),
 		"quarantined": i.dispatcher.QuarantinedParts(),
 		"links_lost":  i.dialer.Links.AllLost(),
+		"relays":      i.node.Relays(),
 		"beliefs":     i.documentVersions(),
 	}
 	if index := i.dispatcher.Index(); index != nil {
--- a/internal/instance/service/status.go
+++ b/internal/instance/service/status.go
@@ -26,6 +26,10 @@
 	// the platform's directory.
 	LeavingUpstreams int            `json:"leaving_upstreams"`
 	Members          []MemberStatus `json:"members"`
+	// LinksLost is true while the instance reaches upstreams through peers only.
+	LinksLost bool `json:"links_lost"`
+	// Relays is the number of connections that the instance relays for peers.
+	Relays int64 `json:"relays"`
 	// RolloutProgress holds the rollout progress of the pools.
 	RolloutProgress []rollouts.Progress `json:"versions"`
 	StoreCalls      objects.CallCounts  `json:"store_calls"`
@@ -54,6 +58,8 @@
 		PeerBillCopies:   held,
 		LeavingUpstreams: i.router.LeavingCount(),
 		Members:          []MemberStatus{},
+		LinksLost:        i.dialer.Links.AllLost(),
+		Relays:           i.node.Relays(),
 		RolloutProgress:  i.router.Progress(),
 		StoreCalls:       i.objects.Counts(),
 		PeerTraffic:      i.node.Stats(),
--- a/internal/instance/service/tasks.go
+++ b/internal/instance/service/tasks.go
@@ -18,6 +18,7 @@
 	"mimosayard/internal/instance/delay"
 	"mimosayard/internal/platform/directory"
 	"mimosayard/internal/telemetry/events"
+	"mimosayard/internal/telemetry/metrics"
 )
 
 // platformHealth logs when the platform becomes unavailable and available again.
@@ -189,6 +190,8 @@
 	i.metrics.SetGauge("bills_held", float64(held))
 	i.metrics.SetGauge("generation", float64(i.router.Generation()))
 	i.metrics.SetGauge("peers", float64(len(i.node.Members())))
+	i.metrics.SetGauge("links_lost", metrics.Bool(i.dialer.Links.AllLost()))
+	i.metrics.SetGauge("relays", float64(i.node.Relays()))
 }
 
 // logProgress logs a step or a withdrawal of a rollout. Step 0 is its start, not
--- a/internal/instance/uplinks/uplinks.go
+++ b/internal/instance/uplinks/uplinks.go
@@ -26,12 +26,19 @@
 	// OnChange is called when the own links are lost and when they are back. It may be
 	// nil.
 	OnChange func()
+	// MemoryMB is the memory of the instance in MiB, zero if there is no limit.
+	MemoryMB int64
 	Log      *zap.Logger
 }
 
+// relaysPerMB bounds the connections that an instance relays by its memory, of which
+// they may take about a quarter.
+const relaysPerMB = 4
+
 // NewDialer returns the dialer of an instance, and sets up its node to relay the
 // connections of peers.
 func NewDialer(o Options) *connect.Dialer {
+	o.Node.RelayLimit = int(o.MemoryMB) * relaysPerMB
 	dialer := &connect.Dialer{
 		Direct:     connect.Direct,
 		Links:      o.Links,
--- a/internal/telemetry/metrics/metrics.go
+++ b/internal/telemetry/metrics/metrics.go
@@ -118,6 +118,14 @@
 	r.metricsOf(route).startRatios.RecordValue(float64(seen) / float64(expected))
 }
 
+// Bool returns the value of a gauge that is 1 while a condition holds.
+func Bool(condition bool) float64 {
+	if condition {
+		return 1
+	}
+	return 0
+}
+
 // SetGauge sets a metric of the instance, which has no route.
 func (r *Recorder) SetGauge(name string, value float64) {
 	if r == nil || r.scope == nil {
