Let sound upstreams be silent for a second and more

Cause: a stream without an event for 1.5 s was cut and run again elsewhere, and a stream that had not begun after 1.5 s without a sign of life from its upstream, too. Where the next upstream is silent as well, the caller lost the stream.

Change: one bound, placement.MaxSilence, 1.8 s, for the three: between events, before the first, and for signs of life. Callers leave after two seconds at the earliest, which leaves time for a resumption.

--- a/internal/core/dispatch/models.go
+++ b/internal/core/dispatch/models.go
@@ -5,6 +5,7 @@
 
 	"mimosayard/internal/core/catalog"
 	"mimosayard/internal/core/forecast"
+	"mimosayard/internal/core/placement"
 	"mimosayard/internal/core/tables"
 )
 
@@ -26,7 +27,7 @@
 	// startTimeoutFactor bounds the wait for the start of an answer as a
 	// multiple of the expected wait. minStartTimeout is the shortest bound.
 	startTimeoutFactor = 6
-	minStartTimeout    = 1500 * time.Millisecond
+	minStartTimeout    = placement.MaxSilence
 )
 
 // initialModel returns the model that is tried first for a request, empty if
--- a/internal/core/dispatch/task.go
+++ b/internal/core/dispatch/task.go
@@ -282,7 +282,7 @@
 	if task.Request.Route.Kind != catalog.Streaming || !call.upstream.Alive(now) {
 		return 0
 	}
-	return placement.AliveTimeout
+	return placement.MaxSilence
 }
 
 // removePromptWork removes the work of reading the prompt, which is done once
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -100,9 +100,10 @@
 	RemotePenalty forecast.Milliseconds
 }
 
-// AliveTimeout is the time after a sign of life for which an upstream counts as
-// alive.
-const AliveTimeout = 1500 * time.Millisecond
+// MaxSilence is the time after a sign of life for which an upstream counts as alive.
+// Sound upstreams may be silent for a second and more, and callers leave after two
+// seconds at the earliest.
+const MaxSilence = 1800 * time.Millisecond
 
 const (
 	// remotePenalty is the load, in work per slot, that is added to an upstream
@@ -175,9 +176,9 @@
 }
 
 // Alive reports whether the upstream gave a sign of life within the last
-// AliveTimeout.
+// MaxSilence.
 func (u *Upstream) Alive(now time.Time) bool {
-	return now.Sub(u.registeredAt)-time.Duration(u.lastSign.Load()) < AliveTimeout
+	return now.Sub(u.registeredAt)-time.Duration(u.lastSign.Load()) < MaxSilence
 }
 
 // SetFleetCounts sets the counts over the whole fleet. A higher count of
--- a/internal/core/placement/placement_test.go
+++ b/internal/core/placement/placement_test.go
@@ -182,7 +182,7 @@
 // TestAlive guards against waiting for a silent upstream, and against leaving a
 // busy one. Answers to this instance and to others are signs of life.
 func TestAlive(t *testing.T) {
-	later := now.Add(AliveTimeout)
+	later := now.Add(MaxSilence)
 	t.Run("an upstream without a sign of life is not alive", func(t *testing.T) {
 		is.New(t).True(!newUpstreams(1)[0].Alive(later))
 	})
--- a/internal/edge/ingress/ingress_test.go
+++ b/internal/edge/ingress/ingress_test.go
@@ -625,3 +625,37 @@
 		assertStatus(t, response, err, http.StatusBadGateway)
 	})
 }
+
+// TestShortSilencesAreNoFailures guards against streams that are cut and run again although
+// their upstream is sound and only silent for a moment.
+func TestShortSilencesAreNoFailures(t *testing.T) {
+	const silence = 1600 * time.Millisecond
+	pausing := func(before int) http.HandlerFunc {
+		return func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("X-Attempt-Id", r.Header.Get("X-Attempt-Id"))
+			w.Header().Set("Content-Type", "text/event-stream")
+			for id := 1; id <= 5; id++ {
+				if id == before {
+					select {
+					case <-time.After(silence):
+					case <-r.Context().Done():
+						return
+					}
+				}
+				_, _ = fmt.Fprintf(w, "id: %d\ndata: x\n\n", id)
+				_ = http.NewResponseController(w).Flush()
+			}
+		}
+	}
+	for name, before := range map[string]int{"before the first event": 1, "between events": 3} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			ti := newTestIngress(t, pausing(before), pausing(before))
+			response, body, err := ti.get(t, "/stream/x")
+			assertStatus(t, response, err, http.StatusOK)
+			is.Equal(strings.Count(body, "id:"), 5)
+			is.Equal(ti.runs.Load(), int64(1))
+		})
+	}
+}
--- a/internal/edge/ingress/streams.go
+++ b/internal/edge/ingress/streams.go
@@ -12,6 +12,7 @@
 	"mimosayard/internal/backend/forward"
 	"mimosayard/internal/core/dispatch"
 	"mimosayard/internal/core/faults"
+	"mimosayard/internal/core/placement"
 )
 
 const (
@@ -19,7 +20,7 @@
 	// which a stream is resumed at another upstream. streamIdleGapFactor is
 	// that gap as a multiple of the route's target gap. Callers give up after
 	// eight times the target gap.
-	minStreamIdleTimeout = 1500 * time.Millisecond
+	minStreamIdleTimeout = placement.MaxSilence
 	streamIdleGapFactor  = 3
 	// maxEventBytes bounds the size of an event.
 	maxEventBytes = 1 << 20
