Set the user timeout of accepted connections

What callers and peers saw: none reported; found by a test for the news on TCP_USER_TIMEOUT. A connection whose other end is gone while data is unacknowledged stayed open for a quarter of an hour, since keep-alive does not run meanwhile.

Cause: the timeout was set on the listening socket, from which Linux lets accepted connections take it over, but not from one with Multipath TCP, which Go has by default. A small program shows both: 0 with it, 3,000 without.

Change: it is set on each accepted connection, and computed from the keep-alive settings, since it decides in their place when probing ends. Idle 1 s and two probes of 1 s, as before.

Measured: TestUserTimeoutAllowsAllProbes, accepted connections, 0 s in place of 3 s before, passes after; dialed ones were right. The peers' and the store's dialers: the former bounds each call by 1.5 s, the latter uses the same sockets.

--- a/internal/net/sockets/sockets.go
+++ b/internal/net/sockets/sockets.go
@@ -18,8 +18,9 @@
 const (
 	// ackTimeout is how long sent data or a keep-alive probe may stay
 	// unacknowledged before the kernel closes the connection. TCP recovers from
-	// the loss of single packets in less than that.
-	ackTimeout = 3 * time.Second
+	// the loss of single packets in less than that. The kernel applies it to
+	// keep-alive in place of keepAliveProbes.
+	ackTimeout = keepAliveIdle + keepAliveProbes*keepAliveInterval
 	// keepAliveIdle is the time without traffic before the first keep-alive
 	// probe, and keepAliveInterval the time between probes.
 	keepAliveIdle     = time.Second
@@ -42,7 +43,27 @@
 	if err != nil {
 		return nil, trace.Wrap(err, "cannot listen on %s", address)
 	}
-	return listener, nil
+	return userTimeoutListener{listener}, nil
+}
+
+// userTimeoutListener sets the user timeout of each accepted connection, which does not
+// take it over from a listening socket with Multipath TCP, Go's default.
+type userTimeoutListener struct {
+	net.Listener
+}
+
+// Accept implements net.Listener.
+func (l userTimeoutListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	if c, ok := conn.(syscall.Conn); ok {
+		if raw, err := c.SyscallConn(); err == nil {
+			_ = setUserTimeout("", "", raw)
+		}
+	}
+	return conn, nil
 }
 
 // Limits bound the time and size of the requests that clients send to a
