Keep brittle upstreams from falling over

An upstream that says `Server-Brittle: N` falls over if it has to reject more than N calls in a second, and its load brings the others down.

Cause: a rejected call went on to the next upstream at once, and nothing bounded how many calls the fleet sends to upstreams without room. The header was not read.

Each instance has a share of nine tenths of N (dispatch/room); with more instances than that, neighbours in the fleet take different upstreams, so that each has some to call. Without room anywhere a request waits at the instance for half of its target and is then refused as not run, with a Retry-After. Instances tell each other of brittle upstreams by exact sums, two keys for each, only while there are any. It answers this load: more calls than fit, at upstreams that bear few rejections.

--- a/internal/core/dispatch/dispatch.go
+++ b/internal/core/dispatch/dispatch.go
@@ -41,7 +41,9 @@
 	// instances is the number of live instances in the fleet, at least
 	// minInstances.
 	instances int
-	sessions  sessionTable
+	// position is this instance's position among them.
+	position int
+	sessions sessionTable
 	// totals are the fleet's sums as of the last ApplyTotals.
 	totals     aggregates.Values
 	quarantine quarantine.Table
@@ -146,7 +148,7 @@
 func (d *Dispatcher) SetFleetPosition(position, count int) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	d.instances = max(minInstances, count)
+	d.instances, d.position = max(minInstances, count), position
 	d.quarantine.SetFleetPosition(position, count)
 }
 
--- a/internal/core/dispatch/evidence.go
+++ b/internal/core/dispatch/evidence.go
@@ -37,6 +37,10 @@
 	valueWork  = "work"
 	valueRuns  = "runs"
 	valueFails = "fails"
+	// valueRejections is the number of rejections in a second that the upstream says it
+	// bears, valueStatements the number of instances to which it has said so lately.
+	valueRejections = "rejections"
+	valueStatements = "statements"
 )
 
 // evidenceFields names the fields of an evidence that are summed over the
@@ -63,6 +67,10 @@
 	{"target_reached", func(t *releases.Traffic) *float64 { return &t.TargetReached }},
 }
 
+// anyStatementKey is the key of the number of instances to which any upstream has said
+// lately that it bears few rejections.
+var anyStatementKey = aggregates.NewExactKey("upstream", valueStatements)
+
 // Contribution returns this instance's part of the fleet's sums.
 func (d *Dispatcher) Contribution(now time.Time) aggregates.Values {
 	d.mutex.Lock()
@@ -81,6 +89,11 @@
 			set(upstreamKey(valueWork, u), u.OwnWork)
 			set(upstreamKey(valueRuns, u), math.Round(u.Calls))
 			set(upstreamKey(valueFails, u), math.Round(u.Failures))
+			if limit := u.StatedRejections(now); limit > 0 {
+				set(anyStatementKey, 1)
+				set(statementKey(valueRejections, u), float64(limit))
+				set(statementKey(valueStatements, u), 1)
+			}
 		}
 		for key, evidence := range s.evidence {
 			for _, field := range evidenceFields {
@@ -111,6 +124,9 @@
 			work := upstreamKey(valueWork, u)
 			u.OthersWork = totals.Others(reported, work)
 			u.SetFleetCounts(now, totals[upstreamKey(valueRuns, u)], totals[upstreamKey(valueFails, u)])
+			if totals[anyStatementKey] > 0 || u.RejectionsLimited() {
+				d.limitRejections(now, u)
+			}
 		}
 		verdicts = append(verdicts, d.judgeRollout(s, totals, reported)...)
 	}
@@ -305,3 +321,8 @@
 func upstreamKey(value string, u *placement.Upstream) aggregates.Key {
 	return aggregates.NewKey("upstream", value, string(u.ID))
 }
+
+// statementKey is the key of the sum of one of the values that an upstream has stated.
+func statementKey(value string, u *placement.Upstream) aggregates.Key {
+	return aggregates.NewExactKey("upstream", value, string(u.ID))
+}
--- /dev/null
+++ b/internal/core/dispatch/room.go
@@ -0,0 +1,81 @@
+package dispatch
+
+import (
+	"time"
+
+	"mimosayard/internal/core/faults"
+	"mimosayard/internal/core/placement"
+)
+
+const (
+	// rejectionMargin is the part of the rejections that an upstream bears which the
+	// fleet uses. Instances may disagree for a moment on their number.
+	rejectionMargin = 0.9
+	// maxRoomWaitFraction is the fraction of its target for which a request waits for
+	// room. The rest is for its run.
+	maxRoomWaitFraction = 0.5
+	// minRoomWait is the shortest time between two looks for room.
+	minRoomWait = 2 * time.Millisecond
+)
+
+// limitRejections sets the limit on an upstream's rejections from what it has said to
+// this instance lately, or else to others.
+func (d *Dispatcher) limitRejections(now time.Time, u *placement.Upstream) {
+	limit := u.StatedRejections(now)
+	if count := d.totals[statementKey(valueStatements, u)]; limit == 0 && count > 0 {
+		limit = int(d.totals[statementKey(valueRejections, u)] / count)
+	}
+	if limit <= 0 {
+		u.AllowRejections()
+		return
+	}
+	u.LimitRejections(d.rejectionShare(d.service(u.Service), u, limit))
+}
+
+// rejectionShare returns how many calls of this instance an upstream may have to reject
+// in a second, given how many of the whole fleet's it bears. The shares of all instances
+// add up to less. If there are more instances than rejections, only some of them call
+// the upstream and others its neighbours, so that each instance has some to call.
+func (d *Dispatcher) rejectionShare(s *service, u *placement.Upstream, limit int) int {
+	budget := max(1, int(rejectionMargin*float64(limit)))
+	if budget >= d.instances {
+		return budget / d.instances
+	}
+	rank, count := 0, len(s.upstreams)
+	for _, other := range s.upstreams {
+		if other.ID < u.ID {
+			rank++
+		}
+	}
+	callers := max(budget, (d.instances+count-1)/max(1, count))
+	first := rank * d.instances / max(1, count)
+	if (d.position-first+d.instances)%d.instances < callers {
+		return 1
+	}
+	return 0
+}
+
+// WaitForRoom returns how long a task that got no call because of the fault waits before
+// it asks again, zero if it is to be refused. It waits only as long as it may still be
+// served within its target.
+func (d *Dispatcher) WaitForRoom(now time.Time, task *Task, fault *faults.Error) time.Duration {
+	if fault.Kind != faults.Overloaded {
+		return 0
+	}
+	latest := task.Request.ArrivedAt.Add(time.Duration(maxRoomWaitFraction * float64(task.latencyTarget())))
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	_, candidates := d.candidates(now, task)
+	earliest := time.Time{}
+	for _, u := range candidates {
+		if at := u.RoomAt(now); u.Usable() && !at.IsZero() && (earliest.IsZero() || at.Before(earliest)) {
+			earliest = at
+		}
+	}
+	// Calls that end make room before that.
+	wait := max(minRoomWait, min(earliest.Sub(now), latest.Sub(now)/4))
+	if earliest.IsZero() || now.Add(wait).After(latest) {
+		return 0
+	}
+	return wait
+}
--- a/internal/core/dispatch/task.go
+++ b/internal/core/dispatch/task.go
@@ -90,6 +90,8 @@
 	work    float64
 	sentAt  time.Time
 	started bool
+	// reservation is the call's possible rejection, nil if the upstream bears any.
+	reservation *placement.Reservation
 	// through is the peer that carries the connection, empty for a direct one.
 	through tables.InstanceID
 	// startLatency is the wait for the start of the answer.
@@ -204,6 +206,7 @@
 			call.Urgency = &call.urgency
 		}
 	}
+	call.reservation = u.Reserve(now)
 	call.StartTimeout = d.startTimeout(task, call, remaining)
 	if source != nil && d.fetchPays(task) {
 		call.CacheSource = source.Address
@@ -221,6 +224,7 @@
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	call.started = true
+	call.upstream.Release(now, call.reservation, false)
 	call.upstream.RecordSign(now)
 	call.upstream.EndDeferral(call.sentAt)
 	call.startLatency = now.Sub(call.sentAt)
@@ -244,6 +248,7 @@
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	call.sentAt, call.through = now, through
+	call.reservation.MarkSent(now)
 }
 
 // Through returns the peer that carries the connection, empty for a direct one.
@@ -258,6 +263,9 @@
 	// RetryAfter is how long it wants no calls from this instance, zero if it does
 	// not say so.
 	RetryAfter time.Duration
+	// MaxRejections is the number of calls that it can reject in a second without
+	// harm, zero if it does not say so.
+	MaxRejections int
 }
 
 // RecordUpstreamState records what the upstream of a call says of itself.
@@ -270,6 +278,8 @@
 	if state.RetryAfter > 0 {
 		call.upstream.Defer(now, state.RetryAfter)
 	}
+	call.upstream.StateRejections(now, state.MaxRejections)
+	d.limitRejections(now, call.upstream)
 }
 
 // ExtendStart returns how much longer to wait for the start of an answer whose
@@ -328,6 +338,7 @@
 	defer d.mutex.Unlock()
 	u := call.upstream
 	u.RemoveWork(call.work)
+	u.Release(now, call.reservation, result == Refused)
 	d.rememberSession(now, task)
 	if d.isLinkLost(now, call, result) {
 		result = LinkLost
@@ -484,6 +495,9 @@
 	fault := noUpstream(name)
 	earliest := time.Time{}
 	for _, u := range candidates {
+		if u.Usable() && !u.MayReject(now) {
+			return faults.New(faults.Overloaded, "the upstreams may have no room")
+		}
 		if u.Usable() && u.Deferred(now) && (earliest.IsZero() || u.NotBefore().Before(earliest)) {
 			earliest = u.NotBefore()
 		}
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -44,6 +44,8 @@
 	// stays true for its incarnation, whatever its registration says.
 	leaving bool
 
+	rejections rejectionLimit
+
 	catalog.Upstream
 	// Calls and Failures count this instance's recent calls and those of them
 	// that failed. Both decay with countHalfLife.
@@ -333,7 +335,7 @@
 // eligible reports whether the upstream belongs to the tier, given the
 // upstreams that the request was already sent to.
 func (u *Upstream) eligible(t tier, now time.Time, tried []tables.UpstreamID) bool {
-	if u.Deferred(now) {
+	if u.Deferred(now) || (u.rejections.limited && !u.MayReject(now)) {
 		return false
 	}
 	switch t {
--- a/internal/edge/ingress/calls.go
+++ b/internal/edge/ingress/calls.go
@@ -143,9 +143,12 @@
 // recordUpstreamState records what the upstream says of itself. An answer from another
 // upstream at the address, or to another request, says nothing of it.
 func (x *exchange) recordUpstreamState(call *dispatch.Call, meta platform.ResponseMetadata) {
-	state := dispatch.UpstreamState{Leaving: meta.Leaving, RetryAfter: meta.RetryAfter}
-	if state != (dispatch.UpstreamState{}) && meta.ID == x.metadata.ID {
-		x.server.Dispatcher.RecordUpstreamState(time.Now(), call, state)
+	if meta.ID != x.metadata.ID {
+		return
+	}
+	state := dispatch.UpstreamState{Leaving: meta.Leaving, RetryAfter: meta.RetryAfter, MaxRejections: meta.MaxRejections}
+	x.server.Dispatcher.RecordUpstreamState(time.Now(), call, state)
+	if state.Leaving || state.RetryAfter > 0 {
 		x.callSummaries = append(x.callSummaries, fmt.Sprintf("%s leaving %t retry after %d", call.Upstream.ID, state.Leaving, state.RetryAfter.Milliseconds()))
 	}
 }
--- a/internal/edge/ingress/ingress.go
+++ b/internal/edge/ingress/ingress.go
@@ -21,6 +21,7 @@
 	"mimosayard/internal/core/dispatch"
 	"mimosayard/internal/core/faults"
 	"mimosayard/internal/core/tables"
+	"mimosayard/internal/instance/delay"
 	"mimosayard/internal/telemetry/metrics"
 	"mimosayard/platform"
 )
@@ -252,7 +253,7 @@
 func (x *exchange) callUpstreams(ctx context.Context) error {
 	var lastErr error
 	for {
-		call, fault := x.server.Dispatcher.NextCall(time.Now(), x.task)
+		call, fault := x.nextCall(ctx)
 		if fault != nil {
 			return x.giveUp(fault, lastErr)
 		}
@@ -264,6 +265,21 @@
 	}
 }
 
+// nextCall returns the next call of the task, for which it may wait until an upstream has
+// room, or the reason why there is none.
+func (x *exchange) nextCall(ctx context.Context) (*dispatch.Call, *faults.Error) {
+	for {
+		call, fault := x.server.Dispatcher.NextCall(time.Now(), x.task)
+		if fault == nil {
+			return call, nil
+		}
+		wait := x.server.Dispatcher.WaitForRoom(time.Now(), x.task, fault)
+		if wait <= 0 || !delay.Sleep(ctx, wait) {
+			return nil, fault
+		}
+	}
+}
+
 // giveUp ends a request that gets no further call. It writes the upstream's own
 // failure if there is one, and otherwise returns the error for the caller.
 // fault is the dispatcher's reason, lastErr the error of the last call.
--- a/internal/edge/ingress/ingress_test.go
+++ b/internal/edge/ingress/ingress_test.go
@@ -659,3 +659,33 @@
 		})
 	}
 }
+
+// TestBrittleUpstreamsRejectFewCalls guards against an instance that goes on sending calls to
+// an upstream that has said how few rejections it bears.
+func TestBrittleUpstreamsRejectFewCalls(t *testing.T) {
+	is := is.New(t)
+	ti := newTestIngress(t, func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-Attempt-Id", r.Header.Get("X-Attempt-Id"))
+		w.Header().Set("X-Not-Executed", "1")
+		w.Header().Set("Server-Brittle", "8")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	})
+	// Of eight rejections, one is the share of an instance.
+	_, _, err := ti.get(t, "/unsafe/x")
+	is.NoErr(err)
+	group := &errgroup.Group{}
+	for range 10 {
+		group.Go(func() error {
+			response, body, err := ti.get(t, "/unsafe/x")
+			if err != nil {
+				return err
+			}
+			if response.StatusCode != http.StatusServiceUnavailable || !strings.Contains(body, `"run":"no"`) || response.Header.Get("Retry-After") == "" {
+				return fmt.Errorf("status %d, %s", response.StatusCode, body)
+			}
+			return nil
+		})
+	}
+	is.NoErr(group.Wait())
+	is.True(ti.runs.Load() <= 2)
+}
