Count lost links against no upstream at the own interface, too

Calls that were lost with the instance's own link counted as failed calls of their pool, by which versions are withdrawn over the fleet, and started cooldowns.

Change: the caller's side asks the links; such a call is aborted for the router.

Measured: TestLostLinksAreNoUpstreamFailures; the cases over a lost link are not told apart without the change (a failed call that is not canceled was always a failure).

--- a/internal/edge/callers/attempts.go
+++ b/internal/edge/callers/attempts.go
@@ -39,6 +39,18 @@
 	return fault.Run == faults.RunNo || x.server.Router.AllowRetry(time.Now())
 }
 
+// isUpstreamFailure reports whether a failed call shows a failure of the upstream. A call
+// that a caller canceled does not, nor one that was lost with this instance's own link.
+func (x *exchange) isUpstreamFailure(address string, fault *faults.Error) bool {
+	switch {
+	case fault.Kind == faults.Canceled:
+		return false
+	case fault.Run == faults.RunNo, x.server.IsLinkLost == nil:
+		return true
+	}
+	return !x.server.IsLinkLost(address)
+}
+
 // withRunState returns a copy of the fault whose run state covers all calls.
 func (a *attemptHistory) withRunState(fault *faults.Error) *faults.Error {
 	reported := *fault
--- a/internal/edge/callers/callers_test.go
+++ b/internal/edge/callers/callers_test.go
@@ -46,6 +46,29 @@
 	})
 }
 
+// TestLostLinksAreNoUpstreamFailures guards against upstreams and versions that are taken
+// for bad because this instance has lost its own links.
+func TestLostLinksAreNoUpstreamFailures(t *testing.T) {
+	x := &exchange{server: &Server{IsLinkLost: func(address string) bool { return address == "lost" }}}
+	for _, c := range []struct {
+		name    string
+		address string
+		fault   *faults.Error
+		want    bool
+	}{
+		{"broken over a link that works", "works", faults.New(faults.AnswerIncomplete, ""), true},
+		{"timed out over a lost link", "lost", faults.New(faults.UpstreamTimeout, ""), false},
+		{"broken over a lost link", "lost", faults.New(faults.AnswerIncomplete, ""), false},
+		{"reached by no path", "lost", faults.NotRun(faults.UpstreamFailed, ""), true},
+		{"canceled", "works", faults.New(faults.Canceled, ""), false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is.New(t).Equal(x.isUpstreamFailure(c.address, c.fault), c.want)
+		})
+	}
+	is.New(t).True((&exchange{server: &Server{}}).isUpstreamFailure("lost", faults.New(faults.UpstreamTimeout, "")))
+}
+
 // Whatever its body, a request must be accepted only if it is valid JSON, and
 // must otherwise be refused as a bad request that was not run.
 func FuzzParseChatRequest(f *testing.F) {
--- a/internal/edge/callers/chat.go
+++ b/internal/edge/callers/chat.go
@@ -275,8 +275,8 @@
 	if err == nil {
 		return outcome
 	}
-	outcome.Aborted = errors.Is(err, errEscalate) || faults.FromError(err).Kind == faults.Canceled
-	outcome.Failed = !outcome.Aborted
+	outcome.Failed = !errors.Is(err, errEscalate) && c.exchange.isUpstreamFailure(c.step.Choice.Upstream.Config.Address, faults.FromError(err))
+	outcome.Aborted = !outcome.Failed
 	return outcome
 }
 
--- a/internal/edge/callers/plain.go
+++ b/internal/edge/callers/plain.go
@@ -116,8 +116,8 @@
 		answer, err := x.server.UpstreamClient.CallPlain(ctx, call)
 		outcome := router.Outcome{Failed: err != nil}
 		if err != nil {
-			outcome.Aborted = faults.FromError(err).Kind == faults.Canceled
-			outcome.Failed = !outcome.Aborted
+			outcome.Failed = x.isUpstreamFailure(call.Address, faults.FromError(err))
+			outcome.Aborted = !outcome.Failed
 		} else {
 			x.server.Router.RecordFirstToken(time.Now(), step)
 		}
--- a/internal/edge/callers/server.go
+++ b/internal/edge/callers/server.go
@@ -51,6 +51,9 @@
 	// RefusalFault returns the fault with which all new requests are refused,
 	// or nil if requests are admitted.
 	RefusalFault func() *faults.Error
+	// IsLinkLost reports whether this instance's own link to an upstream's address is
+	// lost. It may be nil.
+	IsLinkLost func(address string) bool
 
 	inFlight atomic.Int64
 }
--- a/internal/instance/service/service.go
+++ b/internal/instance/service/service.go
@@ -258,6 +258,9 @@
 		MaxBodyBytes:    i.settings.MaxBodyBytes,
 		ClientIOTimeout: i.settings.SlowClientTimeout.Duration(),
 		RefusalFault:    i.refusalFault,
+		IsLinkLost: func(address string) bool {
+			return i.dialer.Links.Lost(time.Now(), links.Address(address))
+		},
 	}
 }
 
