Quarantine requests that their callers repeat

Only the parts that other prompts share were evidence; the repeated request shares them with sound ones, whose answers clear them. Same class of fault as the crashing part: what a retry spreads is known by what the evidence leaves out.

Change: a request is one more part, known by a hash of what the caller sent (method, host, target, body, model, token counts, all parts; not IDs, deadline, session, credential), also for plain services. It is computed once for a request, and only while there is evidence. Three lives are enough, whatever else is lost: copies that several instances lost on one life count once, by sums over 32 buckets of lives (three lives fall into three buckets with 0.91; otherwise the fourth decides). Losses of a quarantined request go on counting for the parts that it shares.

--- a/internal/core/dispatch/task.go
+++ b/internal/core/dispatch/task.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"strconv"
 	"time"
 
@@ -32,6 +33,9 @@
 	SharedPartsHash uint64
 	// SharedParts are the parts of the prompt that other requests may share.
 	SharedParts []quarantine.PartID
+	// ContentPart returns the part that stands for the request itself, the same for all
+	// requests with its content. It is called only while upstreams crash. It may be nil.
+	ContentPart func() quarantine.PartID
 	ArrivedAt   time.Time
 	// Deadline is the earlier of the caller's and the route's deadline.
 	Deadline time.Time
@@ -54,6 +58,9 @@
 	// upstream, losses the number of those that were lost before their answer got past
 	// its beginning.
 	calls, arrivals, losses int
+	// suspects are the parts that may be at fault for the crash of an upstream, nil until
+	// they are needed.
+	suspects []quarantine.PartID
 	// tried are the upstreams that failed or refused the request.
 	tried []tables.UpstreamID
 }
@@ -391,29 +398,48 @@
 // recordForQuarantine records what the end of a call shows about the parts of its
 // prompt.
 func (d *Dispatcher) recordForQuarantine(now time.Time, task *Task, call *Call, result Result) {
-	parts := task.Request.SharedParts
-	if len(parts) == 0 {
-		return
-	}
 	life := quarantine.Life(string(call.Upstream.ID) + "/" + strconv.FormatInt(call.Upstream.Incarnation, 10))
 	switch {
 	case call.events > 0, result == Served && call.started && (call.hasEvent || task.Request.Route.Kind != catalog.Streaming):
-		d.quarantine.RecordAnswer(now, life, call.sentAt, parts)
+		parts := task.Request.SharedParts
+		if d.quarantine.HasEvidence() {
+			parts = task.suspectParts()
+		}
+		if len(parts) > 0 {
+			d.quarantine.RecordAnswer(now, life, call.sentAt, parts)
+		}
 	case result == Broken:
 		task.losses++
-		d.quarantine.RecordLoss(now, life, task.Request.ID, parts)
+		if parts := task.suspectParts(); len(parts) > 0 {
+			d.quarantine.RecordLoss(now, life, task.Request.ID, parts)
+		}
 	}
 }
 
-// quarantineFault returns the reason why a part of the task's prompt forbids a call, nil
-// if none does.
+// suspectParts returns the parts of the prompt that other requests share, and the part
+// that stands for the request itself.
+func (t *Task) suspectParts() []quarantine.PartID {
+	if t.Request.ContentPart == nil {
+		return t.Request.SharedParts
+	}
+	if t.suspects == nil {
+		t.suspects = append(slices.Clip(t.Request.SharedParts), t.Request.ContentPart())
+	}
+	return t.suspects
+}
+
+// quarantineFault returns the reason why the request or a part of its prompt forbids a
+// call, nil if none does.
 func (d *Dispatcher) quarantineFault(now time.Time, task *Task) *faults.Error {
-	switch d.quarantine.Check(now, task.Request.SharedParts) {
+	if !d.quarantine.HasEvidence() {
+		return nil
+	}
+	switch d.quarantine.Check(now, task.suspectParts()) {
 	case quarantine.Refused:
 		return faults.New(faults.PromptQuarantined, "")
 	case quarantine.Suspect:
 		if task.losses > 0 {
-			return faults.New(faults.UpstreamFailed, "a part of the prompt may crash upstreams")
+			return faults.New(faults.UpstreamFailed, "the request or a part of its prompt may crash upstreams")
 		}
 	case quarantine.Allowed:
 	}
--- a/internal/core/quarantine/fleet.go
+++ b/internal/core/quarantine/fleet.go
@@ -5,6 +5,7 @@
 	"maps"
 	"math"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -28,6 +29,10 @@
 	keyQuarantined = "quarantined"
 )
 
+// lifeBuckets is the number of buckets into which lives are divided by their hash, so that
+// sums show how many different ones there are.
+const lifeBuckets = 32
+
 // maxSharedParts bounds the parts of which an instance tells the fleet its losses.
 const maxSharedParts = 32
 
@@ -65,6 +70,12 @@
 	for _, part := range t.worstParts() {
 		own := t.tally()[part]
 		set(partKey(keyLives, part), float64(len(own.lives)))
+		if part.isRequest() {
+			for life := range own.lives {
+				set(lifeBucketKey(part, lifeBucket(life)), 1)
+			}
+			continue
+		}
 		set(partKey(keyRequests, part), float64(len(own.requests)))
 	}
 	for part := range t.sharedAnswers {
@@ -194,6 +205,17 @@
 	return aggregates.NewExactKey("prompt_part", name, string(part))
 }
 
+// lifeBucket returns the bucket of a life.
+func lifeBucket(life Life) int {
+	return int(xxhash.Sum64String(string(life)) % lifeBuckets)
+}
+
+// lifeBucketKey is the key of the number of instances that lost a request on a life of the
+// bucket.
+func lifeBucketKey(part PartID, bucket int) aggregates.Key {
+	return aggregates.NewExactKey("prompt_part", "life_bucket", string(part), strconv.Itoa(bucket))
+}
+
 func lifeKey(life Life) aggregates.Key {
 	return aggregates.NewExactKey("attributed_life", string(life))
 }
--- a/internal/core/quarantine/quarantine.go
+++ b/internal/core/quarantine/quarantine.go
@@ -6,18 +6,50 @@
 // is evidence against many parts, and an answer clears the parts of its prompt. A
 // part is quarantined once several requests with it were lost on several lives of
 // upstreams without an answer in between. The counts are summed over the fleet.
+//
+// A request that its caller repeats is one more part, known by its content. It is
+// quarantined after several lives, whatever else is lost.
 package quarantine
 
 import (
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
+	"io"
 	"math"
 	"slices"
 	"strings"
 	"time"
 )
 
-// A PartID identifies a part of a prompt that other prompts may share.
+// A PartID identifies a part of a prompt that other prompts may share, or a request by its
+// content.
 type PartID string
 
+// requestPrefix marks the IDs of requests.
+const requestPrefix = "request-"
+
+// NewRequestPart returns the ID of the requests with a content. It is a cryptographic hash,
+// so that no caller can make another's request look like its own.
+func NewRequestPart(content ...string) PartID {
+	digest := sha256.New()
+	var length [8]byte
+	for _, part := range content {
+		binary.BigEndian.PutUint64(length[:], uint64(len(part)))
+		_, _ = digest.Write(length[:])
+		_, _ = io.WriteString(digest, part)
+	}
+	return PartID(requestPrefix + hex.EncodeToString(digest.Sum(nil)[:requestDigestBytes]))
+}
+
+// requestDigestBytes is the length of the hash in the ID of a request.
+const requestDigestBytes = 16
+
+// isRequest reports whether the ID is that of a request.
+func (p PartID) isRequest() bool {
+	return strings.HasPrefix(string(p), requestPrefix)
+}
+
 // A Life is one process of an upstream, from its start to its end.
 type Life string
 
@@ -134,7 +166,7 @@
 // Check returns how to treat a request with the parts. A request with a quarantined
 // part may be sent as a trial if this instance is in charge of the part.
 func (t *Table) Check(now time.Time, parts []PartID) Decision {
-	if len(t.quarantined) == 0 && len(t.losses) == 0 && !t.fleet.hasEvidence() {
+	if !t.HasEvidence() {
 		return Allowed
 	}
 	decision := Allowed
@@ -162,6 +194,9 @@
 	t.calls.lost++
 	l := loss{at: now, life: life, request: strings.Clone(request)}
 	for _, part := range parts {
+		if part.isRequest() {
+			l.request = string(part)
+		}
 		if at, known := t.answered[part]; !known || now.Sub(at) >= answerMemory {
 			l.parts = append(l.parts, PartID(strings.Clone(string(part))))
 		}
@@ -188,6 +223,9 @@
 		t.answered = map[PartID]time.Time{}
 	}
 	for _, part := range parts {
+		if part.isRequest() && !t.isSuspected(part) {
+			continue
+		}
 		if _, known := t.answered[part]; !known {
 			t.makeRoom(now)
 			part = PartID(strings.Clone(string(part)))
@@ -205,19 +243,30 @@
 	return len(t.quarantined)
 }
 
-// quarantineWorst quarantines the part with the most lives if its evidence suffices. It
-// takes one part at a time, because its lives then no longer count against the others.
+// HasEvidence reports whether any instance remembers losses or quarantined parts. Without
+// it no request is suspect.
+func (t *Table) HasEvidence() bool {
+	return len(t.quarantined) > 0 || len(t.losses) > 0 || t.fleet.hasEvidence()
+}
+
+// isSuspected reports whether any instance has lost a request with the part, or refuses it.
+func (t *Table) isSuspected(part PartID) bool {
+	return t.tally()[part] != nil || t.quarantined[part] != nil || t.fleet.lives(part) > 0 || t.fleet.isQuarantined(part)
+}
+
+// quarantineWorst quarantines the requests whose evidence suffices, and then the part with
+// the most lives if its evidence does. It takes one part at a time, because its lives then
+// no longer count against the others.
 func (t *Table) quarantineWorst(now time.Time) {
-	worst, most := PartID(""), 0.0
-	for part := range t.tally() {
-		if t.quarantined[part] != nil || t.isAnswered(now, part) {
-			continue
-		}
-		if lives := t.lives(part); lives > most || lives == most && part < worst {
-			worst, most = part, lives
+	for range maxQuarantined {
+		request := t.worstPart(now, true)
+		if request == "" || t.lives(request) < minLives {
+			break
 		}
+		t.quarantine(now, request, true)
 	}
-	if most < minLives {
+	worst := t.worstPart(now, false)
+	if worst == "" || t.lives(worst) < minLives {
 		return
 	}
 	requests := t.requests(worst)
@@ -226,6 +275,21 @@
 	}
 }
 
+// worstPart returns the part with the most lives, of those that are requests or of the
+// others, empty if there is none.
+func (t *Table) worstPart(now time.Time, isRequest bool) PartID {
+	worst, most := PartID(""), 0.0
+	for part := range t.tally() {
+		if part.isRequest() != isRequest || t.quarantined[part] != nil || t.isAnswered(now, part) {
+			continue
+		}
+		if lives := t.lives(part); lives > most || lives == most && part < worst {
+			worst, most = part, lives
+		}
+	}
+	return worst
+}
+
 // lossRate returns the rate of the fleet's recent calls that were lost.
 func (t *Table) lossRate(now time.Time) float64 {
 	t.calls.decay(now)
@@ -301,13 +365,35 @@
 // lives returns the number of lives of upstreams, over the fleet, on which requests with
 // the part were lost. A life on which two instances lost calls may count twice.
 func (t *Table) lives(part PartID) float64 {
-	lives := t.fleet.others(keyLives, part)
-	if own := t.tally()[part]; own != nil {
+	lives, own := t.fleet.others(keyLives, part), t.tally()[part]
+	if own != nil {
 		lives += float64(len(own.lives))
 	}
+	if part.isRequest() && lives >= suspectLives {
+		lives = t.distinctLives(part, own)
+	}
 	return lives
 }
 
+// distinctLives returns the number of lives of which no two count as one, at least, on
+// which copies of a request were lost. Callers may send copies to several instances at
+// once, which lose them on the same life.
+func (t *Table) distinctLives(part PartID, own *tally) float64 {
+	seen := [lifeBuckets]bool{}
+	if own != nil {
+		for life := range own.lives {
+			seen[lifeBucket(life)] = true
+		}
+	}
+	distinct := 0.0
+	for bucket := range lifeBuckets {
+		if seen[bucket] || t.fleet.othersOf(lifeBucketKey(part, bucket)) > 0 {
+			distinct++
+		}
+	}
+	return distinct
+}
+
 // requests returns the number of requests with the part, over the fleet, that were
 // lost.
 func (t *Table) requests(part PartID) float64 {
@@ -319,7 +405,8 @@
 }
 
 // tally returns the counts of this instance's losses by part. Losses on a life on which
-// a quarantined part was lost, here or at another instance, count for that part only.
+// a quarantined part was lost, here or at another instance, count for that part only, and
+// for what it was lost with if that part is a request.
 func (t *Table) tally() map[PartID]*tally {
 	if t.tallies != nil {
 		return t.tallies
@@ -333,7 +420,7 @@
 	t.tallies = map[PartID]*tally{}
 	for _, l := range t.losses {
 		for _, part := range l.parts {
-			if attributed[l.life] && t.quarantined[part] == nil {
+			if attributed[l.life] && t.quarantined[part] == nil && !t.hasQuarantinedRequest(l) {
 				continue
 			}
 			own := t.tallies[part]
@@ -357,6 +444,11 @@
 	return false
 }
 
+// hasQuarantinedRequest reports whether the loss is that of a quarantined request.
+func (t *Table) hasQuarantinedRequest(l loss) bool {
+	return t.quarantined[PartID(l.request)] != nil
+}
+
 // isAnswered reports whether any instance saw an answer to a prompt with the part
 // within answerMemory.
 func (t *Table) isAnswered(now time.Time, part PartID) bool {
--- a/internal/core/quarantine/quarantine_test.go
+++ b/internal/core/quarantine/quarantine_test.go
@@ -384,3 +384,96 @@
 		f.tables[0].Check(now, parts)
 	}
 }
+
+// bad is a request that crashes upstreams.
+var bad = NewRequestPart("content of the bad request")
+
+// TestRepeatedRequestIsQuarantined guards against a request that its caller sends again and
+// again, with new IDs and at any instance, and that ends upstream after upstream although
+// its prompt's shared parts are sound.
+func TestRepeatedRequestIsQuarantined(t *testing.T) {
+	t.Run("refused everywhere after three lives", func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(8)
+		for i := range 3 {
+			is.Equal(f.decisions(now, "popular", bad)[7], []Decision{Allowed, Allowed, Suspect}[i])
+			f.tables[i].RecordLoss(now, Life(strconv.Itoa(i)), "id"+strconv.Itoa(i), []PartID{"popular", bad})
+			f.tables[7].RecordAnswer(now, "sound", now, []PartID{"popular"})
+			f.share(now)
+			f.share(now)
+		}
+		is.Equal(f.decisions(now, "popular", bad), repeat(Refused, 8))
+		is.Equal(f.decisions(now, "popular", NewRequestPart("another")), repeat(Allowed, 8))
+	})
+	t.Run("whatever else is lost at that time", func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(8)
+		for i := range 3 {
+			life := Life(strconv.Itoa(i))
+			for n := range 8 {
+				for m := range 6 {
+					beside := fmt.Sprintf("beside-%d-%d-%d", i, n, m)
+					f.tables[n].RecordLoss(now, life, beside, []PartID{"popular", NewRequestPart(beside)})
+				}
+			}
+			f.tables[i].RecordLoss(now, life, "id"+strconv.Itoa(i), []PartID{"popular", bad})
+			f.tables[7].RecordAnswer(now, "sound", now, []PartID{"popular"})
+			f.share(now)
+			f.share(now)
+		}
+		is.Equal(f.decisions(now, bad), repeat(Refused, 8))
+		is.Equal(f.decisions(now, NewRequestPart("beside-0-0-0")), repeat(Allowed, 8))
+	})
+}
+
+// TestCopiesOfARequestAreOne guards against sound requests and parts that are refused since
+// copies of one request were lost, and against a bad part that hides behind them.
+func TestCopiesOfARequestAreOne(t *testing.T) {
+	t.Run("copies that are lost with one upstream count once", func(t *testing.T) {
+		f := newFleet(8)
+		for n := range 8 {
+			f.tables[n].RecordLoss(now, "life", "id"+strconv.Itoa(n), []PartID{"popular", bad})
+		}
+		f.share(now)
+		f.share(now)
+		is.New(t).Equal(f.decisions(now, bad), repeat(Allowed, 8))
+	})
+	t.Run("its copies are no evidence against the parts that it shares", func(t *testing.T) {
+		f := newFleet(1)
+		for i := range 6 {
+			f.tables[0].RecordLoss(now, Life(strconv.Itoa(i)), "id"+strconv.Itoa(i), []PartID{"popular", bad})
+		}
+		f.share(now)
+		is.New(t).Equal(f.decisions(now, "popular"), repeat(Suspect, 1))
+	})
+	t.Run("a bad part is found although requests with it are repeated", func(t *testing.T) {
+		f := newFleet(4)
+		for i := range 9 {
+			part := NewRequestPart(strconv.Itoa(i / 3))
+			f.tables[i%4].RecordLoss(now, Life(strconv.Itoa(i)), "id"+strconv.Itoa(i), []PartID{"bad", part})
+			f.share(now)
+			f.share(now)
+		}
+		is.New(t).Equal(f.decisions(now, "bad"), repeat(Refused, 4))
+	})
+	t.Run("an answer clears it", func(t *testing.T) {
+		f := newFleet(2)
+		for i := range 2 {
+			f.tables[i].RecordLoss(now, Life(strconv.Itoa(i)), "id"+strconv.Itoa(i), []PartID{bad})
+		}
+		f.share(now)
+		f.tables[0].RecordAnswer(now, "sound", now, []PartID{bad})
+		f.share(now)
+		f.share(now)
+		is.New(t).Equal(f.decisions(now, bad), repeat(Allowed, 2))
+	})
+	t.Run("a request that a link lost is no evidence", func(t *testing.T) {
+		f := newFleet(1)
+		for i := range 3 {
+			f.tables[0].RecordLoss(now, Life(strconv.Itoa(i)), "id", []PartID{bad})
+			f.tables[0].RecordAnswer(now, Life(strconv.Itoa(i)), now.Add(time.Second), []PartID{"other"})
+		}
+		f.share(now)
+		is.New(t).Equal(f.decisions(now, bad), repeat(Allowed, 1))
+	})
+}
--- a/internal/edge/ingress/calls.go
+++ b/internal/edge/ingress/calls.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"syscall"
 	"time"
 
@@ -292,6 +293,19 @@
 	return ids
 }
 
+// contentPart returns the part that stands for all requests with the content of this one,
+// whatever their IDs, deadlines, sessions and credentials are.
+func (x *exchange) contentPart() quarantine.PartID {
+	content := []string{
+		x.request.Method, x.request.Host, x.request.RequestURI, string(x.body), string(x.metadata.Model),
+		strconv.FormatInt(int64(x.metadata.PromptTokens), 10), strconv.FormatInt(int64(x.metadata.AnswerTokens), 10),
+	}
+	for _, part := range x.metadata.PromptParts {
+		content = append(content, part.ID)
+	}
+	return quarantine.NewRequestPart(content...)
+}
+
 // maxPartIDs bounds the prompt parts of a request that can be quarantined.
 const maxPartIDs = 32
 
--- a/internal/edge/ingress/ingress.go
+++ b/internal/edge/ingress/ingress.go
@@ -240,6 +240,7 @@
 		SharedTokens:    sharedPrefixTokens(x.metadata.PromptParts),
 		SharedPartsHash: sharedPrefixHash(x.metadata.PromptParts),
 		SharedParts:     sharedPartIDs(x.metadata.PromptParts),
+		ContentPart:     x.contentPart,
 		ArrivedAt:       x.arrived,
 		Deadline:        x.arrived.Add(timeout),
 	}
