Count copies of a request as one against the parts that it shares

Cause: a part needs three requests lost, but each instance counted its own, so that copies of one request at three instances were three.

Change: different requests are counted over the fleet, by sums over 64 buckets of their hash, as lives are.

--- a/internal/core/quarantine/fleet.go
+++ b/internal/core/quarantine/fleet.go
@@ -24,14 +24,16 @@
 // The names of the sums of a part.
 const (
 	keyLives       = "lives"
-	keyRequests    = "requests"
 	keyAnswers     = "answers"
 	keyQuarantined = "quarantined"
 )
 
-// lifeBuckets is the number of buckets into which lives are divided by their hash, so that
-// sums show how many different ones there are.
-const lifeBuckets = 32
+// lifeBuckets and requestBuckets are the numbers of buckets into which lives and requests
+// are divided by their hash, so that sums show how many different ones there are.
+const (
+	lifeBuckets    = 32
+	requestBuckets = 64
+)
 
 // maxSharedParts bounds the parts of which an instance tells the fleet its losses.
 const maxSharedParts = 32
@@ -76,7 +78,9 @@
 			}
 			continue
 		}
-		set(partKey(keyRequests, part), float64(len(own.requests)))
+		for request := range own.requests {
+			set(requestBucketKey(part, requestBucket(request)), 1)
+		}
 	}
 	for part := range t.sharedAnswers {
 		set(partKey(keyAnswers, part), 1)
@@ -216,6 +220,17 @@
 	return aggregates.NewExactKey("prompt_part", "life_bucket", string(part), strconv.Itoa(bucket))
 }
 
+// requestBucket returns the bucket of a request.
+func requestBucket(request string) int {
+	return int(xxhash.Sum64String(request) % requestBuckets)
+}
+
+// requestBucketKey is the key of the number of instances that lost a request of the bucket
+// with a part.
+func requestBucketKey(part PartID, bucket int) aggregates.Key {
+	return aggregates.NewExactKey("prompt_part", "request_bucket", string(part), strconv.Itoa(bucket))
+}
+
 func lifeKey(life Life) aggregates.Key {
 	return aggregates.NewExactKey("attributed_life", string(life))
 }
--- a/internal/core/quarantine/quarantine.go
+++ b/internal/core/quarantine/quarantine.go
@@ -394,14 +394,22 @@
 	return distinct
 }
 
-// requests returns the number of requests with the part, over the fleet, that were
-// lost.
+// requests returns the number of different requests with the part, over the fleet, that
+// were lost, at least.
 func (t *Table) requests(part PartID) float64 {
-	requests := t.fleet.others(keyRequests, part)
+	seen := [requestBuckets]bool{}
 	if own := t.tally()[part]; own != nil {
-		requests += float64(len(own.requests))
+		for request := range own.requests {
+			seen[requestBucket(request)] = true
+		}
+	}
+	distinct := 0.0
+	for bucket := range requestBuckets {
+		if seen[bucket] || t.fleet.othersOf(requestBucketKey(part, bucket)) > 0 {
+			distinct++
+		}
 	}
-	return requests
+	return distinct
 }
 
 // tally returns the counts of this instance's losses by part. Losses on a life on which
--- a/internal/core/quarantine/quarantine_test.go
+++ b/internal/core/quarantine/quarantine_test.go
@@ -446,6 +446,19 @@
 		f.share(now)
 		is.New(t).Equal(f.decisions(now, "popular"), repeat(Suspect, 1))
 	})
+	t.Run("nor are copies that several instances lost", func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(8)
+		for i := range 8 {
+			f.tables[i].RecordLoss(now, Life(strconv.Itoa(i)), "id"+strconv.Itoa(i), []PartID{"rare", bad})
+		}
+		f.share(now)
+		f.share(now)
+		is.Equal(f.decisions(now, "rare", bad), repeat(Refused, 8))
+		for _, decision := range f.decisions(now, "rare", NewRequestPart("another")) {
+			is.True(decision != Refused)
+		}
+	})
 	t.Run("a bad part is found although requests with it are repeated", func(t *testing.T) {
 		f := newFleet(4)
 		for i := range 9 {
