Hold each request to the lives that it ended itself

Cause: losses on a life on which something quarantined was lost count against that only. A bystander that was lost on the same three lives was quarantined first, at 12.95 s, and its lives no longer counted against the bad request, which was refused at 17.5 s.

Change: the exception is for shared parts. Requests keep the lives they were lost on.

--- a/internal/core/quarantine/quarantine.go
+++ b/internal/core/quarantine/quarantine.go
@@ -413,8 +413,8 @@
 }
 
 // tally returns the counts of this instance's losses by part. Losses on a life on which
-// a quarantined part was lost, here or at another instance, count for that part only, and
-// for what it was lost with if that part is a request.
+// a quarantined part was lost, here or at another instance, count for that part and for
+// requests only, and for what it was lost with if that part is a request.
 func (t *Table) tally() map[PartID]*tally {
 	if t.tallies != nil {
 		return t.tallies
@@ -428,7 +428,7 @@
 	t.tallies = map[PartID]*tally{}
 	for _, l := range t.losses {
 		for _, part := range l.parts {
-			if attributed[l.life] && t.quarantined[part] == nil && !t.hasQuarantinedRequest(l) {
+			if attributed[l.life] && !part.isRequest() && t.quarantined[part] == nil && !t.hasQuarantinedRequest(l) {
 				continue
 			}
 			own := t.tallies[part]
--- a/internal/core/quarantine/quarantine_test.go
+++ b/internal/core/quarantine/quarantine_test.go
@@ -488,6 +488,21 @@
 		}
 		is.New(t).Equal(f.decisions(now, "bad"), repeat(Refused, 4))
 	})
+	t.Run("one that ended three lives is refused although another ended them, too", func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(4)
+		for i := range 3 {
+			f.tables[0].RecordLoss(now, Life(strconv.Itoa(i)), "beside", []PartID{NewRequestPart("beside")})
+		}
+		f.share(now)
+		f.share(now)
+		for i := range 3 {
+			f.tables[1].RecordLoss(now, Life(strconv.Itoa(i)), "id", []PartID{bad})
+		}
+		f.share(now)
+		f.share(now)
+		is.Equal(f.decisions(now, bad), repeat(Refused, 4))
+	})
 	t.Run("an answer clears it", func(t *testing.T) {
 		f := newFleet(2)
 		for i := range 2 {
