Let operators list and release what is quarantined

Change: `GET /quarantine` and `DELETE /quarantine/PART` on the operators' address, and the verb `mimosayard quarantine`. A release counts as an answer to the part, which takes it out at all instances and from the store.

--- a/internal/cli/commands/commands.go
+++ b/internal/cli/commands/commands.go
@@ -90,6 +90,7 @@
 		newReplayCmd(),
 		newServeCmd(),
 		newStatusCmd(),
+		newQuarantineCmd(),
 		newVersionCmd(),
 	}
 }
--- a/internal/core/dispatch/dispatch.go
+++ b/internal/core/dispatch/dispatch.go
@@ -178,6 +178,21 @@
 	return d.quarantine.Quarantined()
 }
 
+// Quarantine returns the parts and requests that this instance refuses.
+func (d *Dispatcher) Quarantine() []quarantine.Entry {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.quarantine.List()
+}
+
+// ReleaseQuarantined releases a part or request over the fleet. It returns false if none
+// refuses it.
+func (d *Dispatcher) ReleaseQuarantined(now time.Time, part quarantine.PartID) bool {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.quarantine.Release(now, part)
+}
+
 // SetRollouts replaces the rollouts. Age is how long those that are new may have
 // been in the store.
 func (d *Dispatcher) SetRollouts(now time.Time, rollouts []catalog.Rollout, age time.Duration) {
--- a/internal/core/quarantine/quarantine.go
+++ b/internal/core/quarantine/quarantine.go
@@ -12,6 +12,7 @@
 package quarantine
 
 import (
+	"cmp"
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
@@ -219,9 +220,6 @@
 	t.calls.decay(now)
 	t.calls.answered++
 	t.removeLosses(func(l loss) bool { return l.life == life && l.at.Before(sentAt) })
-	if t.answered == nil {
-		t.answered = map[PartID]time.Time{}
-	}
 	for _, part := range parts {
 		if part.isRequest() && !t.isSuspected(part) {
 			continue
@@ -238,6 +236,47 @@
 	}
 }
 
+// An Entry is a part in quarantine, as operators see it.
+type Entry struct {
+	Part PartID `json:"part"`
+	// Since is when the instance began to refuse it, Until when that ends if no request
+	// has it any more.
+	Since time.Time `json:"since"`
+	Until time.Time `json:"until"`
+	// NextTrial is when the instance in charge of the part sends the next request with it.
+	NextTrial time.Time `json:"next_trial"`
+}
+
+// List returns the parts that this instance refuses, those refused longest first.
+func (t *Table) List() []Entry {
+	entries := []Entry{}
+	for part, s := range t.quarantined {
+		entries = append(entries, Entry{Part: part, Since: s.since, Until: s.since.Add(quarantineTTL), NextTrial: s.nextTrial})
+	}
+	slices.SortFunc(entries, func(a, b Entry) int {
+		return cmp.Or(a.Since.Compare(b.Since), cmp.Compare(a.Part, b.Part))
+	})
+	return entries
+}
+
+// Release takes a part out of quarantine over the fleet, as an answer to it does. It
+// returns false if no instance refuses the part.
+func (t *Table) Release(now time.Time, part PartID) bool {
+	if t.quarantined[part] == nil && !t.fleet.isQuarantined(part) {
+		return false
+	}
+	if t.quarantined[part] == nil {
+		t.quarantine(now, part, false)
+	}
+	t.makeRoom(now)
+	part = PartID(strings.Clone(string(part)))
+	t.answered[part] = now
+	t.clear(part)
+	t.shareAnswer(part)
+	t.release(part, true)
+	return true
+}
+
 // Quarantined returns the number of quarantined parts that this instance knows.
 func (t *Table) Quarantined() int {
 	return len(t.quarantined)
@@ -487,6 +526,9 @@
 // makeRoom removes answers that no longer count if there are maxAnswered, and all of
 // them if each still counts.
 func (t *Table) makeRoom(now time.Time) {
+	if t.answered == nil {
+		t.answered = map[PartID]time.Time{}
+	}
 	if len(t.answered) < maxAnswered {
 		return
 	}
--- a/internal/core/quarantine/quarantine_test.go
+++ b/internal/core/quarantine/quarantine_test.go
@@ -524,3 +524,32 @@
 		is.New(t).Equal(f.decisions(now, bad), repeat(Allowed, 1))
 	})
 }
+
+// TestOperatorsCanReleaseParts guards against a part that stays refused at some instance
+// after an operator has released it at one, and against a list that hides something.
+func TestOperatorsCanReleaseParts(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(4)
+	f.lose(now, 3, "unlucky")
+	is.Equal(f.decisions(now, "unlucky"), repeat(Refused, 4))
+	for i := range f.tables {
+		is.Equal(f.tables[i].List(), []Entry{{Part: "unlucky", Since: now, NextTrial: now.Add(firstTrialDelay), Until: now.Add(quarantineTTL)}})
+	}
+	is.True(!f.tables[2].Release(now, "another"))
+	is.True(f.tables[2].Release(now, "unlucky"))
+	f.share(now)
+	changes := f.share(now)
+	is.Equal(f.decisions(now, "unlucky"), repeat(Allowed, 4))
+	decided := 0
+	for _, change := range append(changes, f.share(now)...) {
+		if change.Decided {
+			decided++
+		}
+	}
+	is.True(decided <= 1)
+	is.Equal(len(f.tables[0].List()), 0)
+	later := now.Add(2 * answerMemory)
+	f.share(later)
+	f.share(later)
+	is.Equal(f.decisions(later, "unlucky"), repeat(Allowed, 4))
+}
--- a/internal/edge/operators/operators.go
+++ b/internal/edge/operators/operators.go
@@ -19,6 +19,10 @@
 	CheckReady func() error
 	// Status returns the status of the instance, to be encoded as JSON.
 	Status func() any
+	// Quarantine returns what the instance refuses since upstreams crashed on it, to be
+	// encoded as JSON, and Release releases one entry by its name. They may be nil.
+	Quarantine func() any
+	Release    func(name string) bool
 }
 
 // Handler returns the handler of the operators' HTTP API.
@@ -28,6 +32,10 @@
 	router.Handle("/metrics", s.Metrics).Methods(http.MethodGet)
 	router.HandleFunc("/readyz", s.ready).Methods(http.MethodGet)
 	router.HandleFunc("/status", s.status).Methods(http.MethodGet)
+	if s.Quarantine != nil {
+		router.HandleFunc("/quarantine", s.quarantine).Methods(http.MethodGet)
+		router.HandleFunc("/quarantine/{name}", s.release).Methods(http.MethodDelete)
+	}
 	return router
 }
 
@@ -48,8 +56,27 @@
 
 // status answers with the status of the instance as JSON.
 func (s *Server) status(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, s.Status())
+}
+
+// quarantine answers with what the instance refuses as JSON.
+func (s *Server) quarantine(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, s.Quarantine())
+}
+
+// release releases an entry of the quarantine. It answers with status 404 if no instance
+// refuses it.
+func (s *Server) release(w http.ResponseWriter, request *http.Request) {
+	if !s.Release(mux.Vars(request)["name"]) {
+		http.Error(w, "no instance refuses it", http.StatusNotFound)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func writeJSON(w http.ResponseWriter, value any) {
 	w.Header().Set("Content-Type", "application/json")
 	encoder := json.NewEncoder(w)
 	encoder.SetIndent("", "  ")
-	_ = encoder.Encode(s.Status())
+	_ = encoder.Encode(value)
 }
--- a/internal/instance/entry/entry.go
+++ b/internal/instance/entry/entry.go
@@ -152,7 +152,13 @@
 	defer stopTasks()
 	group, tasksCtx := errgroup.WithContext(tasksCtx)
 	callersServer := i.httpServer(i.ingress)
-	operatorsHandler := (&operators.Server{Metrics: i.metrics.Handler(), CheckReady: i.checkReady, Status: i.status}).Handler()
+	operatorsHandler := (&operators.Server{
+		Metrics: i.metrics.Handler(), CheckReady: i.checkReady, Status: i.status,
+		Quarantine: func() any { return i.dispatcher.Quarantine() },
+		Release: func(name string) bool {
+			return i.dispatcher.ReleaseQuarantined(time.Now(), quarantine.PartID(name))
+		},
+	}).Handler()
 	operatorsServer := i.httpServer(operatorsHandler)
 	group.Go(func() error { return sockets.Serve(callersServer, listeners.callers) })
 	group.Go(func() error { return sockets.Serve(operatorsServer, listeners.operators) })
--- a/internal/telemetry/events/events.go
+++ b/internal/telemetry/events/events.go
@@ -78,7 +78,7 @@
 
 // Events of prompt parts that crash upstreams.
 var (
-	PartQuarantined = Event{510, zap.WarnLevel, "prompt part was quarantined", "Find the part in the field parts of failed requests and what its upstreams logged; requests with it are refused."}
+	PartQuarantined = Event{510, zap.WarnLevel, "prompt part was quarantined", "Find the part in the field parts of failed requests, or for request-... the failed requests before it, and what their upstreams logged; requests with it are refused."}
 	PartReleased    = Event{511, zap.InfoLevel, "prompt part was released", "None."}
 	PartNotStored   = Event{512, zap.WarnLevel, "quarantine could not be read from the store or written to it", "Check the platform; the instances keep the quarantine in memory, and forget it if all of them die."}
 )
