Test that a repeated request ends three upstreams at most

Cause: the tests of the quarantine's table don't show that the dispatcher names the request.

Change: a stream and a plain call, sent ten times under new IDs with sound ones beside them.

Measured: fails if tasks have no part of their own content, passes as it is.

--- a/internal/core/dispatch/quarantine_test.go
+++ b/internal/core/dispatch/quarantine_test.go
@@ -111,3 +111,41 @@
 		is.Equal(fault.Kind, faults.PromptQuarantined)
 	})
 }
+
+// TestRepeatedRequestEndsFewUpstreams guards against a request that its caller sends again and
+// again and that ends upstream after upstream, and against the refusal of others beside it.
+func TestRepeatedRequestEndsFewUpstreams(t *testing.T) {
+	admit := func(d *Dispatcher, id, content string) *Task {
+		task := admitWithPart(t, d, id, "usual")
+		task.Request.ContentPart = func() quarantine.PartID { return quarantine.NewRequestPart(content) }
+		return task
+	}
+	serve := func(d *Dispatcher, task *Task) {
+		call := mustNextCall(t, d, task)
+		d.StartAnswer(now, task, call, 100)
+		call.RecordFirstEvent(now)
+		d.EndCall(now, task, call, Served)
+	}
+	for name, kind := range map[string]catalog.RouteKind{"a stream": catalog.Streaming, "a plain call": catalog.Safe} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			d := newServingDispatcher(t)
+			ended := 0
+			for i := range 10 {
+				task := admit(d, "copy"+strconv.Itoa(i), "bad")
+				task.Request.Route = newRoute(kind)
+				for {
+					call, fault := d.NextCall(now, task)
+					if fault != nil {
+						is.Equal(fault.Kind == faults.PromptQuarantined && task.PossibleRuns == 0, i > 1)
+						break
+					}
+					d.EndCall(now, task, call, Broken)
+					ended++
+				}
+				serve(d, admit(d, "sound"+strconv.Itoa(i), "sound"+strconv.Itoa(i)))
+			}
+			is.Equal(ended, 3)
+		})
+	}
+}
