--- a/internal/evaluation/loadsim/load.go
+++ b/internal/evaluation/loadsim/load.go
@@ -120,6 +120,9 @@
 	// other parts are drawn as those of other requests.
 	SharedIndex       int     `json:"index"`
 	RequestsPerSecond float64 `json:"per_second"`
+	// Repeated makes all these requests copies of one, which crashes the engines by its
+	// content. The parts that it shares are then sound.
+	Repeated bool `json:"repeated,omitempty"`
 	// RestartSeconds is the time from the crash of an engine to its restart as a new
 	// process.
 	RestartSeconds float64 `json:"restart"`
--- a/internal/evaluation/loadsim/request.go
+++ b/internal/evaluation/loadsim/request.go
@@ -110,6 +110,7 @@
 		}
 		admission.SharedTokens = tables.Tokens(r.promptTokens - r.parts[len(r.parts)-1].Tokens)
 	}
+	admission.ContentPart = r.contentPart
 	s.policy.editRequest(&admission)
 	task, fault := r.dispatcher.Admit(s.clock(), admission)
 	if fault != nil {
@@ -120,6 +121,16 @@
 	r.startNextCall()
 }
 
+// contentPart returns the part that stands for the request and its copies. The last part of
+// a prompt is the request's own.
+func (r *request) contentPart() quarantine.PartID {
+	content := make([]string, 0, len(r.parts))
+	for _, part := range r.parts {
+		content = append(content, strconv.FormatUint(part.ID, 16))
+	}
+	return quarantine.NewRequestPart(content...)
+}
+
 // startNextCall asks the dispatcher for the next call and sends it, or ends the
 // request if there is none.
 func (r *request) startNextCall() {
--- a/internal/evaluation/loadsim/simulation.go
+++ b/internal/evaluation/loadsim/simulation.go
@@ -30,7 +30,9 @@
 	// contributions holds each instance's part of the next totals.
 	contributions []aggregates.Values
 	requestCount  int
-	collector     *collector
+	// repeated is the first of the copies of one request, nil before it.
+	repeated  *request
+	collector *collector
 }
 
 // engine is an emulated engine with its active faults.
@@ -194,7 +196,14 @@
 		if class.Name == part.Class {
 			r := s.newRequest(n)
 			r.crashes = true
-			r.parts[part.SharedIndex].ID = crashingPartID
+			switch {
+			case !part.Repeated:
+				r.parts[part.SharedIndex].ID = crashingPartID
+			case s.repeated == nil:
+				s.repeated = r
+			default:
+				r.parts, r.promptTokens, r.answerTokens = s.repeated.parts, s.repeated.promptTokens, s.repeated.answerTokens
+			}
 			r.begin()
 		}
 	}
