Use own links that count as lost if no peer carries a connection

When all upstreams fail and come back, or an instance has no peers, its links count as lost, and only a few probes a second would have reached the upstreams; the other calls failed at once with "no peer can be asked".

Cause: the path through a peer was the only one for a lost link, also where peers refuse since their own links are lost.

Change: if no peer carries a connection, the own link is tried, unless peers say that they cannot reach the upstream either; a probe waits for its own connection then. The buckets of lives and requests of the quarantine share their code.

Measured: the new cases "no peer" and "all peers refuse" and TestProbesDoWithoutPeers fail before and pass after.

--- a/internal/backend/connect/connect.go
+++ b/internal/backend/connect/connect.go
@@ -80,7 +80,7 @@
 func (d *Dialer) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
 	switch d.Links.Path(time.Now(), links.Address(address)) {
 	case links.Relayed:
-		return d.throughPeer(ctx, address, maxUnreachable)
+		return d.relayed(ctx, network, address)
 	case links.Probe:
 		return d.probe(ctx, network, address)
 	case links.Direct:
@@ -99,6 +99,20 @@
 	return nil, trace.Wrap(err)
 }
 
+// relayed connects through a peer, or over the own link, although it counts as lost, if
+// no peer can be asked.
+func (d *Dialer) relayed(ctx context.Context, network, address string) (net.Conn, error) {
+	conn, err := d.throughPeer(ctx, address, maxUnreachable)
+	if err == nil || ctx.Err() != nil || errors.Is(err, links.ErrUnreachable) {
+		return conn, err
+	}
+	conn, directErr := d.direct(ctx, network, address)
+	if directErr != nil {
+		return nil, trace.Wrap(errors.Join(err, directErr))
+	}
+	return conn, nil
+}
+
 // DialForPeer connects to an upstream for a peer, over the own link only, so that no
 // connection makes more than one hop. It returns ErrOwnLinkLost without a try if that
 // link is lost.
@@ -148,9 +162,21 @@
 		if conn != nil {
 			return conn, nil
 		}
+		return d.throughPeer(ctx, address, maxUnreachable)
 	case <-timer.C:
 	}
-	return d.throughPeer(ctx, address, maxUnreachable)
+	conn, err := d.throughPeer(ctx, address, maxUnreachable)
+	if err == nil {
+		return conn, nil
+	}
+	select {
+	case conn := <-connected:
+		if conn != nil {
+			return conn, nil
+		}
+	case <-ctx.Done():
+	}
+	return nil, err
 }
 
 // throughPeer connects through a peer. It asks others if one takes no connection, or
@@ -159,7 +185,7 @@
 	if d.Candidates == nil {
 		return nil, trace.Wrap(errNoPeer)
 	}
-	failures := []error{errNoPeer}
+	var failures []error
 	candidates := d.Candidates()
 	unreachable := 0
 	for range maxPeers {
@@ -175,7 +201,7 @@
 			d.Peers.Opened(peer)
 			return &peerConn{Conn: conn, peer: peer, closed: sync.OnceFunc(func() { d.Peers.Closed(peer) })}, nil
 		}
-		failures = append(failures[:len(failures):len(failures)], err)
+		failures = append(failures, err)
 		if ctx.Err() != nil {
 			break
 		}
@@ -188,7 +214,10 @@
 			break
 		}
 	}
-	return nil, trace.Wrap(errors.Join(failures[min(1, len(failures)-1):]...))
+	if len(failures) == 0 {
+		return nil, trace.Wrap(errNoPeer)
+	}
+	return nil, trace.Wrap(errors.Join(failures...))
 }
 
 // peerConn is a connection through a peer.
--- a/internal/backend/connect/connect_test.go
+++ b/internal/backend/connect/connect_test.go
@@ -165,6 +165,28 @@
 		loseLinks(t, n, d)
 		_, err := dial(t, d, "d")
 		is.New(t).True(errors.Is(err, errNoPeer))
+		n.set(func() { n.direct = nil })
+		assertThrough(t, d, "d", "")
+	})
+	t.Run("all peers refuse", func(t *testing.T) {
+		n := &testNetwork{peers: map[tables.InstanceID]error{"p": errRefused, "q": errRefused}}
+		d := n.dialer()
+		loseLinks(t, n, d)
+		n.set(func() { n.direct = nil })
+		for range 10 {
+			assertThrough(t, d, "d", "")
+		}
+	})
+	t.Run("peers that reach no upstream", func(t *testing.T) {
+		n := &testNetwork{peers: map[tables.InstanceID]error{"p": links.ErrUnreachable, "q": links.ErrUnreachable}}
+		d := n.dialer()
+		loseLinks(t, n, d)
+		dials := n.directDials
+		for range 10 {
+			_, err := dial(t, d, "d")
+			is.New(t).True(errors.Is(err, links.ErrUnreachable))
+		}
+		is.New(t).Equal(n.directDials, dials)
 	})
 }
 
@@ -233,6 +255,21 @@
 	})
 }
 
+// TestProbesDoWithoutPeers guards against calls that fail although their own link has come
+// back and only answers slowly, since no peer carries them.
+func TestProbesDoWithoutPeers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := &testNetwork{peers: map[tables.InstanceID]error{"p": errRefused}}
+		d := n.dialer()
+		loseLinks(t, n, d)
+		n.set(func() { n.direct, n.delay = nil, directTimeout/2 })
+		time.Sleep(maxProbeWait)
+		is.New(t).Equal(d.Links.Path(time.Now(), "other"), links.Probe)
+		time.Sleep(maxProbeWait)
+		assertThrough(t, d, "a", "")
+	})
+}
+
 // maxProbeWait is longer than the time between two probes of a link.
 const maxProbeWait = 3 * time.Second
 
--- a/internal/core/quarantine/fleet.go
+++ b/internal/core/quarantine/fleet.go
@@ -25,14 +25,15 @@
 	keyLives       = "lives"
 	keyAnswers     = "answers"
 	keyQuarantined = "quarantined"
+	// keyLifeBuckets and keyRequestBuckets are the keys of the first of the buckets of
+	// lives and requests.
+	keyLifeBuckets    = "life_buckets"
+	keyRequestBuckets = "request_buckets"
 )
 
-// lifeBuckets and requestBuckets are the numbers of buckets into which lives and requests
-// are divided by their hash, so that sums show how many different ones there are.
-const (
-	lifeBuckets    = 256
-	requestBuckets = 256
-)
+// buckets divide lives or requests by their hash, so that sums show how many different
+// ones there are. An element is true if there is one in the bucket.
+type buckets [256]bool
 
 // maxSharedParts bounds the parts of which an instance tells the fleet its losses.
 const maxSharedParts = 32
@@ -73,12 +74,12 @@
 		set(partKey(keyLives, part), float64(len(own.lives)))
 		if part.isRequest() {
 			for life := range own.lives {
-				set(lifeBucketKey(part, lifeBucket(life)), 1)
+				set(partKey(keyLifeBuckets, part).Offset(bucketOf(string(life))), 1)
 			}
 			continue
 		}
 		for request := range own.requests {
-			set(requestBucketKey(part, requestBucket(request)), 1)
+			set(partKey(keyRequestBuckets, part).Offset(bucketOf(request)), 1)
 		}
 	}
 	for part := range t.sharedAnswers {
@@ -199,6 +200,18 @@
 	return f.totals[lifeKey(life)] > 0
 }
 
+// countBuckets returns the number of buckets in which this instance has seen something, or
+// another one has by the sums. First is the key of the first bucket.
+func (f *fleetCounts) countBuckets(first aggregates.Key, seen *buckets) float64 {
+	count := 0.0
+	for i := range seen {
+		if seen[i] || f.othersOf(first.Offset(i)) > 0 {
+			count++
+		}
+	}
+	return count
+}
+
 // inCharge reports whether this instance is in charge of the part.
 func (f *fleetCounts) inCharge(part PartID) bool {
 	return f.instances > 0 && xxhash.Sum64String(string(part))%uint64(f.instances) == uint64(f.position)
@@ -208,28 +221,16 @@
 	return aggregates.NewExactKey("prompt_part", name, string(part))
 }
 
-// lifeBucket returns the bucket of a life.
-func lifeBucket(life Life) int {
-	return int(xxhash.Sum64String(string(life)) % lifeBuckets)
-}
-
-// lifeBucketKey is the key of the number of instances that lost a request on a life of the
-// bucket.
-func lifeBucketKey(part PartID, bucket int) aggregates.Key {
-	return partKey("life_buckets", part).Offset(bucket)
-}
-
-// requestBucket returns the bucket of a request.
-func requestBucket(request string) int {
-	return int(xxhash.Sum64String(request) % requestBuckets)
+func lifeKey(life Life) aggregates.Key {
+	return aggregates.NewExactKey("attributed_life", string(life))
 }
 
-// requestBucketKey is the key of the number of instances that lost a request of the bucket
-// with a part.
-func requestBucketKey(part PartID, bucket int) aggregates.Key {
-	return partKey("request_buckets", part).Offset(bucket)
+// bucketOf returns the index of the bucket of a name.
+func bucketOf(name string) int {
+	return int(xxhash.Sum64String(name) % uint64(len(buckets{})))
 }
 
-func lifeKey(life Life) aggregates.Key {
-	return aggregates.NewExactKey("attributed_life", string(life))
+// add marks the bucket of a name.
+func (b *buckets) add(name string) {
+	b[bucketOf(name)] = true
 }
--- a/internal/core/quarantine/quarantine.go
+++ b/internal/core/quarantine/quarantine.go
@@ -418,37 +418,25 @@
 // which copies of a request were lost. Callers may send copies to several instances at
 // once, which lose them on the same life.
 func (t *Table) distinctLives(part PartID, own *tally) float64 {
-	seen := [lifeBuckets]bool{}
+	var seen buckets
 	if own != nil {
 		for life := range own.lives {
-			seen[lifeBucket(life)] = true
+			seen.add(string(life))
 		}
 	}
-	distinct, first := 0.0, lifeBucketKey(part, 0)
-	for bucket := range lifeBuckets {
-		if seen[bucket] || t.fleet.othersOf(first.Offset(bucket)) > 0 {
-			distinct++
-		}
-	}
-	return distinct
+	return t.fleet.countBuckets(partKey(keyLifeBuckets, part), &seen)
 }
 
 // requests returns the number of different requests with the part, over the fleet, that
 // were lost, at least.
 func (t *Table) requests(part PartID) float64 {
-	seen := [requestBuckets]bool{}
+	var seen buckets
 	if own := t.tally()[part]; own != nil {
 		for request := range own.requests {
-			seen[requestBucket(request)] = true
-		}
-	}
-	distinct, first := 0.0, requestBucketKey(part, 0)
-	for bucket := range requestBuckets {
-		if seen[bucket] || t.fleet.othersOf(first.Offset(bucket)) > 0 {
-			distinct++
+			seen.add(request)
 		}
 	}
-	return distinct
+	return t.fleet.countBuckets(partKey(keyRequestBuckets, part), &seen)
 }
 
 // tally returns the counts of this instance's losses by part. Losses on a life on which
