Hash a request's content outside the dispatcher's lock

Change: the front door computes it once, before the calls that may need it.

Measured: TestContentIsHashedOnce; it also shows that IDs, session, credential and deadline don't change it, and method and body do.

--- a/internal/core/dispatch/dispatch.go
+++ b/internal/core/dispatch/dispatch.go
@@ -178,6 +178,13 @@
 	return d.quarantine.Quarantined()
 }
 
+// SuspectsRequests reports whether the next call of any request depends on its ContentPart.
+func (d *Dispatcher) SuspectsRequests() bool {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.quarantine.HasEvidence()
+}
+
 // Quarantine returns the parts and requests that this instance refuses.
 func (d *Dispatcher) Quarantine() []quarantine.Entry {
 	d.mutex.Lock()
--- a/internal/edge/ingress/calls.go
+++ b/internal/edge/ingress/calls.go
@@ -48,6 +48,10 @@
 	defer cancel(nil)
 	result := dispatch.Abandoned
 	defer func() {
+		if result == dispatch.Broken {
+			// The dispatcher asks for it under its lock.
+			x.contentPart()
+		}
 		x.server.Dispatcher.EndCall(time.Now(), x.task, call, result)
 		x.summarizeCall(call, result, err)
 	}()
@@ -293,9 +297,9 @@
 	return ids
 }
 
-// contentPart returns the part that stands for all requests with the content of this one,
+// hashContent returns the part that stands for all requests with the content of this one,
 // whatever their IDs, deadlines, sessions and credentials are.
-func (x *exchange) contentPart() quarantine.PartID {
+func (x *exchange) hashContent() quarantine.PartID {
 	content := []string{
 		x.request.Method, x.request.Host, x.request.RequestURI, string(x.body), string(x.metadata.Model),
 		strconv.FormatInt(int64(x.metadata.PromptTokens), 10), strconv.FormatInt(int64(x.metadata.AnswerTokens), 10),
--- a/internal/edge/ingress/ingress.go
+++ b/internal/edge/ingress/ingress.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -20,6 +21,7 @@
 	"mimosayard/internal/core/catalog"
 	"mimosayard/internal/core/dispatch"
 	"mimosayard/internal/core/faults"
+	"mimosayard/internal/core/quarantine"
 	"mimosayard/internal/core/tables"
 	"mimosayard/internal/instance/delay"
 	"mimosayard/internal/telemetry/metrics"
@@ -60,6 +62,9 @@
 	// team is nil if the request needs no credential or was not authenticated.
 	team *catalog.Team
 	body []byte
+	// contentPart returns the part that stands for all requests with this one's content. It
+	// hashes the body once, when it is first called.
+	contentPart func() quarantine.PartID
 	// task is nil until the dispatcher has admitted the request.
 	task *dispatch.Task
 
@@ -231,6 +236,7 @@
 	if timeout <= 0 {
 		timeout = defaultRequestTimeout
 	}
+	x.contentPart = sync.OnceValue(x.hashContent)
 	return dispatch.Request{
 		ID:              x.metadata.ID,
 		Route:           x.route,
@@ -269,6 +275,10 @@
 // nextCall returns the next call of the task, for which it may wait until an upstream has
 // room, or the reason why there is none.
 func (x *exchange) nextCall(ctx context.Context) (*dispatch.Call, *faults.Error) {
+	if x.server.Dispatcher.SuspectsRequests() {
+		// The dispatcher asks for it under its lock.
+		x.contentPart()
+	}
 	for {
 		call, fault := x.server.Dispatcher.NextCall(time.Now(), x.task)
 		if fault == nil {
--- a/internal/edge/ingress/ingress_test.go
+++ b/internal/edge/ingress/ingress_test.go
@@ -30,6 +30,7 @@
 	"mimosayard/internal/core/releases"
 	"mimosayard/internal/core/retries"
 	"mimosayard/internal/core/tables"
+	"mimosayard/platform"
 )
 
 // testIngress is an ingress server in front of test upstreams. runs counts the
@@ -689,3 +690,19 @@
 	is.NoErr(group.Wait())
 	is.True(ti.runs.Load() <= 2)
 }
+
+// TestContentIsHashedOnce guards against a hash of the whole body for each call, or for
+// requests of which nothing is suspect.
+func TestContentIsHashedOnce(t *testing.T) {
+	is := is.New(t)
+	x := &exchange{request: httptest.NewRequest(http.MethodPost, "/a", http.NoBody), body: []byte("body"), route: &catalog.Route{}}
+	request := x.dispatchRequest()
+	first := request.ContentPart()
+	x.body = []byte("other")
+	is.Equal(request.ContentPart(), first)
+	is.True(x.dispatchRequest().ContentPart() != first)
+	x.body, x.metadata = []byte("body"), platform.RequestMetadata{ID: "another", Session: "another", Credential: "another", Timeout: time.Second}
+	is.Equal(x.dispatchRequest().ContentPart(), first)
+	x.request.Method = http.MethodPut
+	is.True(x.dispatchRequest().ContentPart() != first)
+}
