--- a/internal/fleet/peers/peers_test.go
+++ b/internal/fleet/peers/peers_test.go
@@ -45,7 +45,7 @@
 
 // newPeers starts nodes in three data centres. Node n contributes the demand
 // n+1.
-func newPeers(t *testing.T, count int) []*testPeer {
+func newPeers(t testing.TB, count int) []*testPeer {
 	t.Helper()
 	subnet := fmt.Sprintf("127.%d.%d", 192+os.Getpid()%60, nextSubnet.Add(1))
 	peers := make([]*testPeer, count)
@@ -93,7 +93,7 @@
 	return p
 }
 
-func (p *testPeer) start(t *testing.T) {
+func (p *testPeer) start(t testing.TB) {
 	t.Helper()
 	listener, err := net.Listen("tcp", p.node.Self.Address)
 	if err != nil {
@@ -111,7 +111,7 @@
 
 // await polls a condition until it is true, and fails the test after
 // awaitTimeout.
-func await(t *testing.T, what string, condition func() bool) {
+func await(t testing.TB, what string, condition func() bool) {
 	t.Helper()
 	deadline := time.After(awaitTimeout)
 	ticker := time.NewTicker(pollInterval)
@@ -127,7 +127,7 @@
 
 // awaitView waits until each of the peers knows count members and has the total
 // demand.
-func awaitView(t *testing.T, peers []*testPeer, count int, total int64) {
+func awaitView(t testing.TB, peers []*testPeer, count int, total int64) {
 	t.Helper()
 	await(t, fmt.Sprintf("%d members with the total %d at every peer", count, total), func() bool {
 		for _, p := range peers {
--- a/internal/fleet/peers/relay_test.go
+++ b/internal/fleet/peers/relay_test.go
@@ -28,7 +28,7 @@
 
 // newRelayPair starts two peers and an upstream. dial connects the second peer to the
 // upstream; nil stands for a usual connection.
-func newRelayPair(t *testing.T, dial func(ctx context.Context, address string) (net.Conn, error)) *relayPair {
+func newRelayPair(t testing.TB, dial func(ctx context.Context, address string) (net.Conn, error)) *relayPair {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -265,7 +265,7 @@
 }
 
 // newTestGroup returns a group whose goroutines end before the test does, after stop.
-func newTestGroup(t *testing.T, stop func()) *errgroup.Group {
+func newTestGroup(t testing.TB, stop func()) *errgroup.Group {
 	t.Helper()
 	group := &errgroup.Group{}
 	t.Cleanup(func() {
@@ -311,3 +311,41 @@
 	runtime.ReadMemStats(&stats)
 	return int64(stats.HeapInuse + stats.StackInuse)
 }
+
+// BenchmarkRelayedStream measures a call through a peer: the connection, a request of 1 KiB
+// and an answer of 100 events of 64 bytes, at both ends.
+func BenchmarkRelayedStream(b *testing.B) {
+	const (
+		events     = 100
+		eventBytes = 64
+		headBytes  = 1024
+	)
+	p := newRelayPair(b, nil)
+	before := p.from.node.Stats()
+	buffer := make([]byte, headBytes)
+	for b.Loop() {
+		client, err := p.from.node.DialThrough(b.Context(), p.through.node.Self.ID, p.address)
+		if err != nil {
+			b.Fatal(err)
+		}
+		upstream := <-p.upstream
+		if _, err := client.Write(buffer); err != nil {
+			b.Fatal(err)
+		}
+		if _, err := io.ReadFull(upstream, buffer); err != nil {
+			b.Fatal(err)
+		}
+		for range events {
+			if _, err := upstream.Write(buffer[:eventBytes]); err != nil {
+				b.Fatal(err)
+			}
+			if _, err := io.ReadFull(client, buffer[:eventBytes]); err != nil {
+				b.Fatal(err)
+			}
+		}
+		_ = upstream.Close()
+		_ = client.Close()
+	}
+	after := p.from.node.Stats()
+	b.ReportMetric(float64(after.SentBytes+after.ReceivedBytes-before.SentBytes-before.ReceivedBytes)/float64(b.N), "bytes/op")
+}
