--- a/internal/backend/connect/connect.go
+++ b/internal/backend/connect/connect.go
@@ -93,7 +93,7 @@
 	switch {
 	case d.Links.Lost(now, links.Address(address)):
 		return d.throughPeer(ctx, address, maxUnreachable)
-	case d.Links.NeedsOpinion(now, links.Address(address)):
+	case d.Links.ShouldAskPeer(now, links.Address(address)):
 		return d.throughPeer(ctx, address, 1)
 	}
 	return nil, trace.Wrap(err)
--- a/internal/core/dispatch/brittle_test.go
+++ b/internal/core/dispatch/brittle_test.go
@@ -21,7 +21,7 @@
 // reject more than some calls in a second.
 type brittleLoad struct {
 	instances, upstreams int
-	// limit is the number of rejections that an upstream bears in a second.
+	// limit is the number of rejections that an upstream tolerates in a second.
 	limit int
 	// overload is the rate of requests as a multiple of what the upstreams can serve.
 	overload float64
@@ -166,7 +166,7 @@
 }
 
 // arriveAtServer serves a call, or rejects it for want of room. A server that has rejected
-// more than it bears is down for three seconds.
+// more than it tolerates is down for three seconds.
 func (f *brittleFleet) arriveAtServer(id tables.UpstreamID, done func(Result)) {
 	s := f.servers[id]
 	switch {
@@ -203,7 +203,7 @@
 }
 
 // TestBrittleUpstreamsStayUp guards against upstreams that fall over because the fleet makes
-// them reject more calls in a second than they bear. The load is an overload of a plain
+// them reject more calls in a second than they tolerate. The load is an overload of a plain
 // service, at several sizes of the fleet.
 func TestBrittleUpstreamsStayUp(t *testing.T) {
 	for name, load := range map[string]brittleLoad{
@@ -232,8 +232,8 @@
 }
 
 // TestEachInstanceMayCallBrittleUpstreams guards against instances whose callers are all
-// refused because the upstreams bear fewer rejections than there are instances, and
-// against shares that add up to more than an upstream bears.
+// refused because the upstreams tolerate fewer rejections than there are instances, and
+// against shares that add up to more than an upstream tolerates.
 func TestEachInstanceMayCallBrittleUpstreams(t *testing.T) {
 	for _, size := range []struct{ instances, upstreams, limit int }{{8, 4, 20}, {8, 4, 4}, {9, 3, 5}, {75, 25, 6}, {75, 25, 20}, {300, 600, 3}, {40, 2, 10}} {
 		t.Run(fmt.Sprintf("%d instances, %d upstreams, limit %d", size.instances, size.upstreams, size.limit), func(t *testing.T) {
--- a/internal/core/dispatch/evidence.go
+++ b/internal/core/dispatch/evidence.go
@@ -38,7 +38,7 @@
 	valueRuns  = "runs"
 	valueFails = "fails"
 	// valueRejections is the number of rejections in a second that the upstream says it
-	// bears, valueStatements the number of instances to which it has said so lately.
+	// tolerates, valueStatements the number of instances to which it has said so lately.
 	valueRejections = "rejections"
 	valueStatements = "statements"
 )
@@ -68,7 +68,7 @@
 }
 
 // anyStatementKey is the key of the number of instances to which any upstream has said
-// lately that it bears few rejections.
+// lately that it tolerates few rejections.
 var anyStatementKey = aggregates.NewExactKey("upstream", valueStatements)
 
 // Contribution returns this instance's part of the fleet's sums.
--- a/internal/core/dispatch/room.go
+++ b/internal/core/dispatch/room.go
@@ -8,7 +8,7 @@
 )
 
 const (
-	// rejectionMargin is the part of the rejections that an upstream bears which the
+	// rejectionMargin is the part of the rejections that an upstream tolerates which the
 	// fleet uses. Instances may disagree for a moment on their number.
 	rejectionMargin = 0.9
 	// maxRoomWaitFraction is the fraction of its target for which a request waits for
@@ -33,7 +33,7 @@
 }
 
 // rejectionShare returns how many calls of this instance an upstream may have to reject
-// in a second, given how many of the whole fleet's it bears. The shares of all instances
+// in a second, given how many of the whole fleet's it tolerates. The shares of all instances
 // add up to less. If there are more instances than rejections, only some of them call
 // the upstream and others its neighbours, so that each instance has some to call.
 func (d *Dispatcher) rejectionShare(s *service, u *placement.Upstream, limit int) int {
--- a/internal/core/dispatch/task.go
+++ b/internal/core/dispatch/task.go
@@ -97,7 +97,7 @@
 	work    float64
 	sentAt  time.Time
 	started bool
-	// reservation is the call's possible rejection, nil if the upstream bears any.
+	// reservation is the call's possible rejection, nil if the upstream tolerates any.
 	reservation *placement.Reservation
 	// through is the peer that carries the connection, empty for a direct one.
 	through tables.InstanceID
--- a/internal/core/links/links.go
+++ b/internal/core/links/links.go
@@ -58,9 +58,9 @@
 	// relayedAt is when a peer last reached the upstream, zero if the latest one that
 	// tried did not.
 	relayedAt time.Time
-	// nextProbe is the earliest time of the next probe of this link, nextOpinion that
+	// nextProbe is the earliest time of the next probe of this link, nextPeerCheck that
 	// at which a peer may be asked whether it reaches the upstream.
-	nextProbe, nextOpinion time.Time
+	nextProbe, nextPeerCheck time.Time
 	// failures counts the failures since the latest success.
 	failures int
 }
@@ -70,9 +70,9 @@
 	// links count as lost, and so many work before they count as back.
 	minLinks = 3
 	// minFailures is the number of failures in a row from which a peer is asked whether
-	// it reaches an upstream, and opinionInterval the time between two such questions.
-	minFailures     = 2
-	opinionInterval = time.Second
+	// it reaches an upstream, and peerCheckInterval the time between two such checks.
+	minFailures       = 2
+	peerCheckInterval = time.Second
 	// relayTTL is how long it counts that a peer has reached an upstream.
 	relayTTL = 5 * time.Second
 	// probeInterval is the time between two probes. It is shorter after probes that
@@ -157,16 +157,16 @@
 	}
 }
 
-// NeedsOpinion reports whether a peer is to be asked now whether it reaches an address,
+// ShouldAskPeer reports whether a peer is to be asked now whether it reaches an address,
 // since connections from here fail.
-func (t *Table) NeedsOpinion(now time.Time, address Address) bool {
+func (t *Table) ShouldAskPeer(now time.Time, address Address) bool {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	l := t.links[address]
-	if l == nil || l.failures < minFailures || now.Before(l.nextOpinion) {
+	if l == nil || l.failures < minFailures || now.Before(l.nextPeerCheck) {
 		return false
 	}
-	l.nextOpinion = now.Add(opinionInterval)
+	l.nextPeerCheck = now.Add(peerCheckInterval)
 	return true
 }
 
--- a/internal/core/links/links_test.go
+++ b/internal/core/links/links_test.go
@@ -77,9 +77,9 @@
 	t.Run("an upstream that a peer reaches is behind a lost link", func(t *testing.T) {
 		table := newTable("a", "b", "c", "d")
 		table.RecordFailure(after(time.Second), "a")
-		is.New(t).True(!table.NeedsOpinion(after(time.Second), "a"))
+		is.New(t).True(!table.ShouldAskPeer(after(time.Second), "a"))
 		table.RecordFailure(after(time.Second), "a")
-		is.New(t).True(table.NeedsOpinion(after(time.Second), "a"))
+		is.New(t).True(table.ShouldAskPeer(after(time.Second), "a"))
 		table.RecordRelayed(after(time.Second), "a", true)
 		is.New(t).True(table.Lost(after(2*time.Second), "a"))
 		is.New(t).True(!table.Lost(after(2*time.Second), "b"))
@@ -100,7 +100,7 @@
 		for i := range 100 {
 			at := after(time.Duration(i) * 100 * time.Millisecond)
 			table.RecordFailure(at, "a")
-			if table.NeedsOpinion(at, "a") {
+			if table.ShouldAskPeer(at, "a") {
 				asked++
 			}
 		}
--- a/internal/core/placement/rejections.go
+++ b/internal/core/placement/rejections.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// A Reservation is the possible rejection of a call to an upstream that bears few.
+// A Reservation is the possible rejection of a call to an upstream that tolerates few.
 type Reservation struct {
 	// sentAt is when the call was sent, as far as is known.
 	sentAt time.Time
@@ -18,7 +18,7 @@
 	limited bool
 	share   int
 	// stated is the number of rejections in a second that the upstream has said it
-	// bears, zero if it has not or bears any. statedAt is when it said so.
+	// tolerates, zero if it has not or tolerates any. statedAt is when it said so.
 	stated   int
 	statedAt time.Time
 	// rejected are the times of the rejections in the last rejectionWindow, oldest
@@ -29,7 +29,7 @@
 }
 
 const (
-	// rejectionWindow is the time in which an upstream bears a number of rejections.
+	// rejectionWindow is the time in which an upstream tolerates a number of rejections.
 	rejectionWindow = time.Second
 	// rejectionTimeout is the time after which a call counts as accepted, since
 	// upstreams reject at once.
@@ -39,14 +39,14 @@
 	statementTTL = 3 * time.Second
 )
 
-// StateRejections records how many rejections in a second the upstream says it bears,
+// StateRejections records how many rejections in a second the upstream says it tolerates,
 // zero if it says nothing.
 func (u *Upstream) StateRejections(now time.Time, limit int) {
 	u.rejections.stated, u.rejections.statedAt = limit, now
 }
 
 // StatedRejections returns how many rejections in a second the upstream has lately said
-// it bears, zero if it has not said so.
+// it tolerates, zero if it has not said so.
 func (u *Upstream) StatedRejections(now time.Time) int {
 	if now.Sub(u.rejections.statedAt) > statementTTL {
 		return 0
@@ -70,7 +70,7 @@
 	return u.rejections.limited
 }
 
-// MayReject reports whether the upstream bears it if it has to reject one more call.
+// MayReject reports whether the upstream tolerates it if it has to reject one more call.
 func (u *Upstream) MayReject(now time.Time) bool {
 	r := &u.rejections
 	if !r.limited {
@@ -108,7 +108,7 @@
 	}
 }
 
-// RoomAt returns when the upstream bears another rejection, as far as is known now.
+// RoomAt returns when the upstream tolerates another rejection, as far as is known now.
 func (u *Upstream) RoomAt(now time.Time) time.Time {
 	r := &u.rejections
 	if u.MayReject(now) {
--- a/internal/edge/ingress/ingress_test.go
+++ b/internal/edge/ingress/ingress_test.go
@@ -662,7 +662,7 @@
 }
 
 // TestBrittleUpstreamsRejectFewCalls guards against an instance that goes on sending calls to
-// an upstream that has said how few rejections it bears.
+// an upstream that has said how few rejections it tolerates.
 func TestBrittleUpstreamsRejectFewCalls(t *testing.T) {
 	is := is.New(t)
 	ti := newTestIngress(t, func(w http.ResponseWriter, r *http.Request) {
