--- a/internal/core/quarantine/fleet.go
+++ b/internal/core/quarantine/fleet.go
@@ -31,10 +31,6 @@
 	keyRequestBuckets = "request_buckets"
 )
 
-// buckets divide lives or requests by their hash, so that sums show how many different
-// ones there are. An element is true if there is one in the bucket.
-type buckets [256]bool
-
 // maxSharedParts bounds the parts of which an instance tells the fleet its losses.
 const maxSharedParts = 32
 
@@ -224,13 +220,3 @@
 func lifeKey(life Life) aggregates.Key {
 	return aggregates.NewExactKey("attributed_life", string(life))
 }
-
-// bucketOf returns the index of the bucket of a name.
-func bucketOf(name string) int {
-	return int(xxhash.Sum64String(name) % uint64(len(buckets{})))
-}
-
-// add marks the bucket of a name.
-func (b *buckets) add(name string) {
-	b[bucketOf(name)] = true
-}
--- a/internal/core/quarantine/quarantine.go
+++ b/internal/core/quarantine/quarantine.go
@@ -12,45 +12,12 @@
 package quarantine
 
 import (
-	"cmp"
-	"crypto/sha256"
-	"encoding/binary"
-	"encoding/hex"
-	"io"
 	"math"
 	"slices"
 	"strings"
 	"time"
 )
 
-// A PartID identifies a part of a prompt that other prompts may share, or a request by its
-// content.
-type PartID string
-
-// requestPrefix marks the IDs of requests.
-const requestPrefix = "request-"
-
-// NewRequestPart returns the ID of the requests with a content. It is a cryptographic hash,
-// so that no caller can make another's request look like its own.
-func NewRequestPart(content ...string) PartID {
-	digest := sha256.New()
-	var length [8]byte
-	for _, part := range content {
-		binary.BigEndian.PutUint64(length[:], uint64(len(part)))
-		_, _ = digest.Write(length[:])
-		_, _ = io.WriteString(digest, part)
-	}
-	return PartID(requestPrefix + hex.EncodeToString(digest.Sum(nil)[:requestDigestBytes]))
-}
-
-// requestDigestBytes is the length of the hash in the ID of a request.
-const requestDigestBytes = 16
-
-// isRequest reports whether the ID is that of a request.
-func (p PartID) isRequest() bool {
-	return strings.HasPrefix(string(p), requestPrefix)
-}
-
 // A Life is one process of an upstream, from its start to its end.
 type Life string
 
@@ -236,47 +203,6 @@
 	}
 }
 
-// An Entry is a part in quarantine, as operators see it.
-type Entry struct {
-	Part PartID `json:"part"`
-	// Since is when the instance began to refuse it, Until when that ends if no request
-	// has it any more.
-	Since time.Time `json:"since"`
-	Until time.Time `json:"until"`
-	// NextTrial is when the instance in charge of the part sends the next request with it.
-	NextTrial time.Time `json:"next_trial"`
-}
-
-// List returns the parts that this instance refuses, those refused longest first.
-func (t *Table) List() []Entry {
-	entries := []Entry{}
-	for part, s := range t.quarantined {
-		entries = append(entries, Entry{Part: part, Since: s.since, Until: s.since.Add(quarantineTTL), NextTrial: s.nextTrial})
-	}
-	slices.SortFunc(entries, func(a, b Entry) int {
-		return cmp.Or(a.Since.Compare(b.Since), cmp.Compare(a.Part, b.Part))
-	})
-	return entries
-}
-
-// Release takes a part out of quarantine over the fleet, as an answer to it does. It
-// returns false if no instance refuses the part.
-func (t *Table) Release(now time.Time, part PartID) bool {
-	if t.quarantined[part] == nil && !t.fleet.isQuarantined(part) {
-		return false
-	}
-	if t.quarantined[part] == nil {
-		t.quarantine(now, part, false)
-	}
-	t.makeRoom(now)
-	part = PartID(strings.Clone(string(part)))
-	t.answered[part] = now
-	t.clear(part)
-	t.shareAnswer(part)
-	t.release(part, true)
-	return true
-}
-
 // Quarantined returns the number of quarantined parts that this instance knows.
 func (t *Table) Quarantined() int {
 	return len(t.quarantined)
