Keep callers from naming another's request as a part of their prompt

Change: such IDs are left out of the evidence.

Measured: TestCallersCannotNameRequests fails before and passes after.

--- a/internal/core/quarantine/fleet.go
+++ b/internal/core/quarantine/fleet.go
@@ -68,7 +68,7 @@
 	for _, part := range t.worstParts() {
 		own := t.tally()[part]
 		set(partKey(keyLives, part), float64(len(own.lives)))
-		if part.isRequest() {
+		if part.IsRequest() {
 			for life := range own.lives {
 				set(partKey(keyLifeBuckets, part).Offset(bucketOf(string(life))), 1)
 			}
--- a/internal/core/quarantine/identity.go
+++ b/internal/core/quarantine/identity.go
@@ -33,8 +33,8 @@
 // requestDigestBytes is the length of the hash in the ID of a request.
 const requestDigestBytes = 16
 
-// isRequest reports whether the ID is that of a request.
-func (p PartID) isRequest() bool {
+// IsRequest reports whether the ID is that of a request.
+func (p PartID) IsRequest() bool {
 	return strings.HasPrefix(string(p), requestPrefix)
 }
 
--- a/internal/core/quarantine/quarantine.go
+++ b/internal/core/quarantine/quarantine.go
@@ -162,7 +162,7 @@
 	t.calls.lost++
 	l := loss{at: now, life: life, request: strings.Clone(request)}
 	for _, part := range parts {
-		if part.isRequest() {
+		if part.IsRequest() {
 			l.request = string(part)
 		}
 		if at, known := t.answered[part]; !known || now.Sub(at) >= answerMemory {
@@ -188,7 +188,7 @@
 	t.calls.answered++
 	t.removeLosses(func(l loss) bool { return l.life == life && l.at.Before(sentAt) })
 	for _, part := range parts {
-		if part.isRequest() && !t.isSuspected(part) {
+		if part.IsRequest() && !t.isSuspected(part) {
 			continue
 		}
 		if _, known := t.answered[part]; !known {
@@ -245,7 +245,7 @@
 func (t *Table) worstPart(now time.Time, isRequest bool) PartID {
 	worst, most := PartID(""), 0.0
 	for part := range t.tally() {
-		if part.isRequest() != isRequest || t.quarantined[part] != nil || t.isAnswered(now, part) {
+		if part.IsRequest() != isRequest || t.quarantined[part] != nil || t.isAnswered(now, part) {
 			continue
 		}
 		if lives := t.lives(part); lives > most || lives == most && part < worst {
@@ -334,7 +334,7 @@
 	if own != nil {
 		lives += float64(len(own.lives))
 	}
-	if part.isRequest() && lives >= suspectLives {
+	if part.IsRequest() && lives >= suspectLives {
 		lives = t.distinctLives(part, own)
 	}
 	return lives
@@ -381,7 +381,7 @@
 	t.tallies = map[PartID]*tally{}
 	for _, l := range t.losses {
 		for _, part := range l.parts {
-			if attributed[l.life] && !part.isRequest() && t.quarantined[part] == nil && !t.hasQuarantinedRequest(l) {
+			if attributed[l.life] && !part.IsRequest() && t.quarantined[part] == nil && !t.hasQuarantinedRequest(l) {
 				continue
 			}
 			own := t.tallies[part]
--- a/internal/edge/ingress/calls.go
+++ b/internal/edge/ingress/calls.go
@@ -287,12 +287,15 @@
 	return parts[:max(0, len(parts)-1)]
 }
 
-// sharedPartIDs returns the IDs of the first shared parts, up to maxPartIDs.
+// sharedPartIDs returns the IDs of the first shared parts, up to maxPartIDs. Those that a
+// caller has named like a request are left out.
 func sharedPartIDs(parts []platform.PromptPart) []quarantine.PartID {
 	shared := sharedParts(parts)
 	var ids []quarantine.PartID
 	for _, part := range shared[:min(len(shared), maxPartIDs)] {
-		ids = append(ids, quarantine.PartID(part.ID))
+		if id := quarantine.PartID(part.ID); !id.IsRequest() {
+			ids = append(ids, id)
+		}
 	}
 	return ids
 }
--- a/internal/edge/ingress/ingress_test.go
+++ b/internal/edge/ingress/ingress_test.go
@@ -27,6 +27,7 @@
 	"mimosayard/internal/core/catalog"
 	"mimosayard/internal/core/dispatch"
 	"mimosayard/internal/core/links"
+	"mimosayard/internal/core/quarantine"
 	"mimosayard/internal/core/releases"
 	"mimosayard/internal/core/retries"
 	"mimosayard/internal/core/tables"
@@ -706,3 +707,11 @@
 	x.request.Method = http.MethodPut
 	is.True(x.dispatchRequest().ContentPart() != first)
 }
+
+// TestCallersCannotNameRequests guards against a caller whose prompt has a part with the ID
+// of another's request, which its own crashes would quarantine.
+func TestCallersCannotNameRequests(t *testing.T) {
+	victim := string(quarantine.NewRequestPart("of another team"))
+	parts := []platform.PromptPart{{ID: "5c1e07a2"}, {ID: victim}, {ID: "own"}}
+	is.New(t).Equal(sharedPartIDs(parts), []quarantine.PartID{"5c1e07a2"})
+}
