Log the limits that upstreams name

No decision uses it yet. Conclusion: an entry on each call to the upstream shows which of the excess calls had the word before them.

--- a/internal/edge/ingress/calls.go
+++ b/internal/edge/ingress/calls.go
@@ -156,6 +156,9 @@
 	if state.Leaving || state.RetryAfter > 0 {
 		x.callSummaries = append(x.callSummaries, fmt.Sprintf("%s leaving %t retry after %d", call.Upstream.ID, state.Leaving, state.RetryAfter.Milliseconds()))
 	}
+	if meta.NamesLimit {
+		x.callSummaries = append(x.callSummaries, fmt.Sprintf("%s limit %g", call.Upstream.ID, meta.MaxRate))
+	}
 }
 
 // startAnswer records the start of a successful response, and reports whether it
