--- a/internal/instance/entry/links_test.go
+++ b/internal/instance/entry/links_test.go
@@ -33,6 +33,7 @@
 	subnet    string
 	store     *httptest.Server
 	upstreams []*httptest.Server
+	standIns  []*sharedplatform.Upstream
 	instances []*testInstance
 	requests  atomic.Int64
 }
@@ -80,7 +81,9 @@
 		"services":[{"name":"s"}],"limits":{"max_header_bytes":16384,"max_body_bytes":1048576}}`)
 	for n := range upstreams {
 		id := fmt.Sprintf("i-%d", n)
-		server := httptest.NewServer((&sharedplatform.Upstream{ID: id, EventsPerStream: eventsPerStream, EventInterval: 10 * time.Millisecond}).Handler())
+		standIn := &sharedplatform.Upstream{ID: id, EventsPerStream: eventsPerStream, EventInterval: 10 * time.Millisecond}
+		server := httptest.NewServer(standIn.Handler())
+		f.standIns = append(f.standIns, standIn)
 		t.Cleanup(server.CloseClientConnections)
 		f.upstreams = append(f.upstreams, server)
 		f.putObject("servers", id, fmt.Sprintf(`{"service":"s","address":%q,"zone":"dc-0","version":"v1","slots":64,"state":"ready","born":7,"sequence":1}`,
--- a/internal/standin/sharedplatform/upstream.go
+++ b/internal/standin/sharedplatform/upstream.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"sort"
 	"strconv"
 	"sync"
 	"time"
@@ -28,7 +29,9 @@
 	mutex sync.Mutex
 	// runsByAttempt counts how often each attempt ID was executed.
 	runsByAttempt map[string]int
-	faults        upstreamFaults
+	// arrivals are the times at which requests arrived, oldest first.
+	arrivals []time.Time
+	faults   upstreamFaults
 }
 
 // upstreamFaults are the faults that PUT /admin/faults injects. Each PUT
@@ -43,6 +46,17 @@
 	// DropResponses executes requests and closes the connection before the
 	// response.
 	DropResponses bool `json:"lose_answers"`
+	// Limit is the number of requests a second that the server names as its limit in
+	// each response, nil for none. It does not reject those beyond it.
+	Limit *float64 `json:"limit"`
+}
+
+// ArrivalsSince returns the number of requests that have arrived since a time.
+func (u *Upstream) ArrivalsSince(start time.Time) int {
+	u.mutex.Lock()
+	defer u.mutex.Unlock()
+	first := sort.Search(len(u.arrivals), func(n int) bool { return !u.arrivals[n].Before(start) })
+	return len(u.arrivals) - first
 }
 
 // Handler returns the HTTP interface of the server and the /admin routes that
@@ -79,7 +93,11 @@
 	}
 	u.mutex.Lock()
 	faults := u.faults
+	u.arrivals = append(u.arrivals, time.Now())
 	u.mutex.Unlock()
+	if faults.Limit != nil {
+		w.Header().Set("Server-Limit", strconv.FormatFloat(*faults.Limit, 'g', -1, 64))
+	}
 	attemptID := r.Header.Get("X-Attempt-Id")
 	w.Header().Set("X-Attempt-Id", attemptID)
 	switch {
