Keep calls within the limits that upstreams name

Class of fault: an upstream's own word that no decision reads, as before with leaving, Retry-After and rejections. Change: core/pacing keeps the limit of an upstream's life, from answers to this instance and, by sums, to all. The rate is divided into fixed shares that add up to nine tenths of it; where it is below one call a second for each instance, some call this upstream and others its neighbours. Every call counts where it is sent: first calls, repeats, escalations, resumptions, calls through a peer. An instance that is cut off goes on assuming the fleet that it knew.

--- a/internal/core/dispatch/brittle_test.go
+++ b/internal/core/dispatch/brittle_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"fmt"
-	"math/rand/v2"
-	"strconv"
 	"testing"
 	"time"
 
@@ -12,201 +10,14 @@
 	"mimosayard/internal/core/aggregates"
 	"mimosayard/internal/core/catalog"
 	"mimosayard/internal/core/faults"
-	"mimosayard/internal/core/retries"
 	"mimosayard/internal/core/tables"
-	"mimosayard/internal/evaluation/simtime"
 )
 
-// brittleLoad is a load of a plain service whose upstreams fall over if they have to
-// reject more than some calls in a second.
-type brittleLoad struct {
-	instances, upstreams int
-	// limit is the number of rejections that an upstream tolerates in a second.
-	limit int
-	// overload is the rate of requests as a multiple of what the upstreams can serve.
-	overload float64
-}
-
-// brittleFleet emulates the load.
-type brittleFleet struct {
-	brittleLoad
-	simtime.Scheduler
-	random        *rand.Rand
-	dispatchers   []*Dispatcher
-	servers       map[tables.UpstreamID]*brittleServer
-	contributions []aggregates.Values
-	route         *catalog.Route
-	requests      int
-	served        int
-	inTime        int
-	refused       int
-	// worstRefusal is the longest time until a request was refused.
-	worstRefusal time.Duration
-}
-
-// brittleServer is an upstream that serves slots calls at once and lets few wait.
-type brittleServer struct {
-	running   int
-	queue     []func()
-	rejected  []time.Duration
-	downUntil time.Duration
-	falls     int
-}
-
-const (
-	brittleSlots   = 6
-	brittleQueue   = 2
-	brittleWork    = 20 * time.Millisecond
-	brittleDelay   = time.Millisecond
-	brittleSeconds = 8
-)
-
-func newBrittleFleet(load brittleLoad) *brittleFleet {
-	f := &brittleFleet{brittleLoad: load, random: rand.New(rand.NewPCG(3, 4)), servers: map[tables.UpstreamID]*brittleServer{}}
-	f.contributions = make([]aggregates.Values, load.instances)
-	f.route = &catalog.Route{
-		Name: "r", Kind: catalog.Safe, MaxAttempts: 3, LatencyTarget: 100 * time.Millisecond, Timeout: time.Second,
-		Split: []catalog.Share{{Service: "desk", Weight: 1}},
-	}
-	var entries []catalog.Upstream
-	for i := range load.upstreams {
-		id := tables.UpstreamID(fmt.Sprintf("u-%d", i))
-		entries = append(entries, catalog.Upstream{ID: id, Service: "desk", Address: string(id), Version: "v1", Slots: brittleSlots, Ready: true})
-		f.servers[id] = &brittleServer{}
-	}
-	for n := range load.instances {
-		d := New("here", Limits{Retries: retries.Budget{Ratio: 0.9, Slack: 58, Window: 10 * time.Second}}, rand.New(rand.NewPCG(uint64(n), 5)))
-		d.SetUpstreams(f.clock(), entries)
-		d.SetFleetPosition(n, load.instances)
-		f.dispatchers = append(f.dispatchers, d)
-	}
-	return f
-}
-
-func (f *brittleFleet) clock() time.Time {
-	return now.Add(f.Now())
-}
-
-func (f *brittleFleet) run() {
-	capacity := float64(f.upstreams*brittleSlots) / brittleWork.Seconds()
-	quiet, busy := time.Duration(float64(time.Second)/(0.5*capacity)), time.Duration(float64(time.Second)/(f.overload*capacity))
-	var arrive func()
-	arrive = func() {
-		f.request(f.random.IntN(f.instances))
-		switch {
-		case f.Now() < time.Second:
-			f.Schedule(quiet, arrive)
-		case f.Now() < brittleSeconds*time.Second:
-			f.Schedule(busy, arrive)
-		}
-	}
-	f.Schedule(0, arrive)
-	f.Schedule(0, f.exchange)
-	f.AdvanceTo((brittleSeconds + 2) * time.Second)
-}
-
-// exchange shares the totals that the instances reported the time before.
-func (f *brittleFleet) exchange() {
-	total := aggregates.Sum(f.contributions)
-	for n, d := range f.dispatchers {
-		d.ApplyTotals(f.clock(), total, f.contributions[n])
-		f.contributions[n] = d.Contribution(f.clock())
-	}
-	f.Schedule(200*time.Millisecond, f.exchange)
-}
-
-func (f *brittleFleet) request(n int) {
-	f.requests++
-	id := strconv.Itoa(f.requests)
-	task, fault := f.dispatchers[n].Admit(f.clock(), Request{ID: id, Route: f.route, ArrivedAt: f.clock(), Deadline: f.clock().Add(f.route.Timeout)})
-	if fault == nil {
-		f.next(n, task)
-	}
-}
-
-// next makes the next call of a task, or waits for room, as the front door does.
-func (f *brittleFleet) next(n int, task *Task) {
-	d := f.dispatchers[n]
-	call, fault := d.NextCall(f.clock(), task)
-	if fault != nil {
-		if wait := d.WaitForRoom(f.clock(), task, fault); wait > 0 {
-			f.Schedule(wait, func() { f.next(n, task) })
-			return
-		}
-		f.refused++
-		f.worstRefusal = max(f.worstRefusal, f.clock().Sub(task.Request.ArrivedAt))
-		return
-	}
-	f.Schedule(brittleDelay, func() {
-		d.RecordConnected(f.clock(), call, "")
-		f.arriveAtServer(call.Upstream.ID, func(result Result) {
-			f.Schedule(brittleDelay, func() { f.end(n, task, call, result) })
-		})
-	})
-}
-
-// end records the end of a call.
-func (f *brittleFleet) end(n int, task *Task, call *Call, result Result) {
-	d := f.dispatchers[n]
-	if result != Unreachable {
-		d.RecordUpstreamState(f.clock(), call, UpstreamState{MaxRejections: f.limit})
-	}
-	if result == Served {
-		d.StartAnswer(f.clock(), task, call, -1)
-	}
-	d.EndCall(f.clock(), task, call, result)
-	if result != Served {
-		f.next(n, task)
-		return
-	}
-	f.served++
-	if f.clock().Sub(task.Request.ArrivedAt) <= f.route.LatencyTarget {
-		f.inTime++
-	}
-}
-
-// arriveAtServer serves a call, or rejects it for want of room. A server that has rejected
-// more than it tolerates is down for three seconds.
-func (f *brittleFleet) arriveAtServer(id tables.UpstreamID, done func(Result)) {
-	s := f.servers[id]
-	switch {
-	case f.Now() < s.downUntil:
-		done(Unreachable)
-	case s.running < brittleSlots:
-		f.serve(s, done)
-	case len(s.queue) < brittleQueue:
-		s.queue = append(s.queue, func() { f.serve(s, done) })
-	default:
-		s.rejected = append(s.rejected, f.Now())
-		for f.Now()-s.rejected[0] >= time.Second {
-			s.rejected = s.rejected[1:]
-		}
-		if len(s.rejected) > f.limit {
-			s.falls++
-			s.rejected, s.downUntil = nil, f.Now()+3*time.Second
-		}
-		done(Refused)
-	}
-}
-
-func (f *brittleFleet) serve(s *brittleServer, done func(Result)) {
-	s.running++
-	f.Schedule(brittleWork, func() {
-		s.running--
-		done(Served)
-		if len(s.queue) > 0 {
-			next := s.queue[0]
-			s.queue = s.queue[1:]
-			next()
-		}
-	})
-}
-
 // TestBrittleUpstreamsStayUp guards against upstreams that fall over because the fleet makes
 // them reject more calls in a second than they tolerate. The load is an overload of a plain
 // service, at several sizes of the fleet.
 func TestBrittleUpstreamsStayUp(t *testing.T) {
-	for name, load := range map[string]brittleLoad{
+	for name, load := range map[string]fleetLoad{
 		"small fleet":                    {instances: 8, upstreams: 4, limit: 20, overload: 2},
 		"more instances than rejections": {instances: 40, upstreams: 12, limit: 15, overload: 2},
 		"few rejections":                 {instances: 8, upstreams: 4, limit: 8, overload: 1.2},
@@ -214,13 +25,13 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			f := newBrittleFleet(load)
+			f := newEmulatedFleet(load)
 			f.run()
 			falls := 0
 			for _, s := range f.servers {
 				falls += s.falls
 			}
-			capacity := float64(load.upstreams*brittleSlots) / brittleWork.Seconds() * (0.5 + (brittleSeconds-1)*min(1, load.overload))
+			capacity := float64(load.upstreams*serverSlots) / serverWork.Seconds() * (0.5 + (loadSeconds-1)*min(1, load.overload))
 			t.Logf("%d falls; of %d requests %d served, %d in time, %d refused, the last after %v; servable %.0f",
 				falls, f.requests, f.served, f.inTime, f.refused, f.worstRefusal, capacity)
 			is.True(float64(falls) <= 2+0.1*float64(load.upstreams))
@@ -242,7 +53,7 @@
 			s := d.services["llm"]
 			sums := map[tables.UpstreamID]int{}
 			for n := range size.instances {
-				d.SetFleetPosition(n, size.instances)
+				d.SetFleetPosition(now, n, size.instances)
 				own := 0
 				for _, u := range s.upstreams {
 					share := d.rejectionShare(s, u, size.limit)
--- a/internal/core/dispatch/dispatch.go
+++ b/internal/core/dispatch/dispatch.go
@@ -12,6 +12,7 @@
 	"mimosayard/internal/core/catalog"
 	"mimosayard/internal/core/forecast"
 	"mimosayard/internal/core/links"
+	"mimosayard/internal/core/pacing"
 	"mimosayard/internal/core/placement"
 	"mimosayard/internal/core/quarantine"
 	"mimosayard/internal/core/releases"
@@ -39,11 +40,13 @@
 	index    *catalog.Index
 	services map[tables.ServiceID]*service
 	// instances is the number of live instances in the fleet, at least
-	// minInstances.
+	// pacing.MinInstances.
 	instances int
-	// position is this instance's position among them.
-	position int
-	sessions sessionTable
+	fleet     pacing.Fleet
+	// limitsChanged are the upstreams whose limits have changed and that LimitChanges has
+	// not returned yet.
+	limitsChanged []*placement.Upstream
+	sessions      sessionTable
 	// totals are the fleet's sums as of the last ApplyTotals.
 	totals     aggregates.Values
 	quarantine quarantine.Table
@@ -93,10 +96,6 @@
 	class   tables.ClassID
 }
 
-// minInstances is assumed while few peers are known. It keeps instances that
-// have lost contact with each other from spending the same retry budget twice.
-const minInstances = 8
-
 // New returns a dispatcher without a configuration.
 func New(dataCenter tables.DataCenterID, limits Limits, random *rand.Rand) *Dispatcher {
 	return &Dispatcher{
@@ -105,7 +104,7 @@
 		chooser:    placement.Chooser{Random: random},
 		links:      &links.Table{},
 		services:   map[tables.ServiceID]*service{},
-		instances:  minInstances,
+		instances:  pacing.MinInstances,
 		sessions:   sessionTable{versions: map[sessionID]sessionEntry{}},
 	}
 }
@@ -145,10 +144,11 @@
 
 // SetFleetPosition sets this instance's position among the live instances of the
 // fleet, from 0, and their number.
-func (d *Dispatcher) SetFleetPosition(position, count int) {
+func (d *Dispatcher) SetFleetPosition(now time.Time, position, count int) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	d.instances, d.position = max(minInstances, count), position
+	d.instances = max(pacing.MinInstances, count)
+	d.fleet.SetPosition(now, position, count)
 	d.quarantine.SetFleetPosition(position, count)
 }
 
--- a/internal/core/dispatch/dispatch_test.go
+++ b/internal/core/dispatch/dispatch_test.go
@@ -13,6 +13,7 @@
 	"mimosayard/internal/core/catalog"
 	"mimosayard/internal/core/faults"
 	"mimosayard/internal/core/forecast"
+	"mimosayard/internal/core/pacing"
 	"mimosayard/internal/core/releases"
 	"mimosayard/internal/core/retries"
 	"mimosayard/internal/core/tables"
@@ -150,7 +151,7 @@
 	t.Run("calls that reached no upstream leave the retry budget to others", func(t *testing.T) {
 		is := is.New(t)
 		d := newDispatcher(newUpstreams("v1", 4)...)
-		d.SetLimits(Limits{Retries: retries.Budget{Slack: minInstances * 2, Window: time.Minute}})
+		d.SetLimits(Limits{Retries: retries.Budget{Slack: pacing.MinInstances * 2, Window: time.Minute}})
 		for i := range 20 {
 			task := mustAdmit(t, d, newRoute(catalog.Safe), strconv.Itoa(i))
 			for range 3 {
@@ -179,7 +180,7 @@
 			d.EndCall(now, task, call, Served)
 		}
 		is.True(lastFault != nil)
-		is.True(float64(retried) <= limits.Retries.Ratio*200+limits.Retries.Slack/minInstances)
+		is.True(float64(retried) <= limits.Retries.Ratio*200+limits.Retries.Slack/pacing.MinInstances)
 	})
 	t.Run("a new incarnation of an upstream starts without work", func(t *testing.T) {
 		is := is.New(t)
--- a/internal/core/dispatch/evidence.go
+++ b/internal/core/dispatch/evidence.go
@@ -94,6 +94,7 @@
 				set(statementKey(valueRejections, u), float64(limit))
 				set(statementKey(valueStatements, u), 1)
 			}
+			contributeLimit(now, u, set)
 		}
 		for key, evidence := range s.evidence {
 			for _, field := range evidenceFields {
@@ -127,6 +128,9 @@
 			if totals[anyStatementKey] > 0 || u.RejectionsLimited() {
 				d.limitRejections(now, u)
 			}
+			if _, named := u.Limit.Named(); named || totals[anyLimitKey] > 0 {
+				d.applyLimit(now, s, u, reported)
+			}
 		}
 		verdicts = append(verdicts, d.judgeRollout(s, totals, reported)...)
 	}
--- /dev/null
+++ b/internal/core/dispatch/fleet_test.go
@@ -0,0 +1,264 @@
+package dispatch
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"time"
+
+	"mimosayard/internal/core/aggregates"
+	"mimosayard/internal/core/catalog"
+	"mimosayard/internal/core/pacing"
+	"mimosayard/internal/core/retries"
+	"mimosayard/internal/core/tables"
+	"mimosayard/internal/evaluation/simtime"
+)
+
+// fleetLoad is a load of a plain service.
+type fleetLoad struct {
+	instances, upstreams int
+	// limit is the number of rejections in a second at which an upstream falls over, zero if
+	// it tolerates any.
+	limit int
+	// limited are the upstreams that name rate as the limit on their calls, from namedAt on
+	// until liftedAt.
+	limited           int
+	rate              pacing.Rate
+	namedAt, liftedAt time.Duration
+	// failing is the part of the calls that the upstreams answer with a failure.
+	failing float64
+	// onEvent, if not nil, is called at eventAt.
+	eventAt time.Duration
+	onEvent func(f *emulatedFleet)
+	// overload is the rate of requests as a multiple of what the upstreams can serve.
+	overload float64
+}
+
+// emulatedFleet emulates the load.
+type emulatedFleet struct {
+	fleetLoad
+	simtime.Scheduler
+	random        *rand.Rand
+	dispatchers   []*Dispatcher
+	entries       []catalog.Upstream
+	servers       map[tables.UpstreamID]*emulatedServer
+	contributions []aggregates.Values
+	route         *catalog.Route
+	requests      int
+	served        int
+	inTime        int
+	refused       int
+	// isolated are the instances that exchange no sums with the others.
+	isolated map[int]bool
+	// worstRefusal is the longest time until a request was refused.
+	worstRefusal time.Duration
+}
+
+// emulatedServer is an upstream that serves slots calls at once and lets few wait.
+type emulatedServer struct {
+	running   int
+	queue     []func()
+	rejected  []time.Duration
+	downUntil time.Duration
+	falls     int
+	// named is true if the upstream names limits.
+	named bool
+	// arrivals are the times of all calls.
+	arrivals []time.Duration
+}
+
+const (
+	serverSlots = 6
+	serverQueue = 2
+	serverWork  = 20 * time.Millisecond
+	serverDelay = time.Millisecond
+	loadSeconds = 8
+)
+
+func newEmulatedFleet(load fleetLoad) *emulatedFleet {
+	f := &emulatedFleet{fleetLoad: load, random: rand.New(rand.NewPCG(3, 4)), servers: map[tables.UpstreamID]*emulatedServer{}}
+	f.contributions = make([]aggregates.Values, load.instances)
+	f.route = &catalog.Route{
+		Name: "r", Kind: catalog.Safe, MaxAttempts: 3, LatencyTarget: 100 * time.Millisecond, Timeout: time.Second,
+		Split: []catalog.Share{{Service: "desk", Weight: 1}},
+	}
+	for i := range load.upstreams {
+		id := tables.UpstreamID(fmt.Sprintf("u-%d", i))
+		f.entries = append(f.entries, catalog.Upstream{ID: id, Service: "desk", Address: string(id), Version: "v1", Slots: serverSlots, Ready: true})
+		f.servers[id] = &emulatedServer{named: i < load.limited}
+	}
+	for n := range load.instances {
+		f.dispatchers = append(f.dispatchers, nil)
+		f.start(n, n, load.instances)
+	}
+	if load.onEvent != nil {
+		f.Schedule(load.eventAt, func() { load.onEvent(f) })
+	}
+	return f
+}
+
+// start starts an instance, which knows its position in the fleet.
+func (f *emulatedFleet) start(n, position, instances int) {
+	d := New("here", Limits{Retries: retries.Budget{Ratio: 0.9, Slack: 58, Window: 10 * time.Second}}, rand.New(rand.NewPCG(uint64(n), 5)))
+	d.SetUpstreams(f.clock(), f.entries)
+	d.SetFleetPosition(f.clock(), position, instances)
+	f.dispatchers[n] = d
+}
+
+func (f *emulatedFleet) clock() time.Time {
+	return now.Add(f.Now())
+}
+
+func (f *emulatedFleet) run() {
+	capacity := float64(f.upstreams*serverSlots) / serverWork.Seconds()
+	quiet, busy := time.Duration(float64(time.Second)/(0.5*capacity)), time.Duration(float64(time.Second)/(f.overload*capacity))
+	var arrive func()
+	arrive = func() {
+		f.request(f.random.IntN(f.instances))
+		switch {
+		case f.Now() < time.Second:
+			f.Schedule(quiet, arrive)
+		case f.Now() < loadSeconds*time.Second:
+			f.Schedule(busy, arrive)
+		}
+	}
+	f.Schedule(0, arrive)
+	f.Schedule(0, f.exchange)
+	f.AdvanceTo((loadSeconds + 2) * time.Second)
+}
+
+// exchange shares the totals that the instances reported the time before.
+func (f *emulatedFleet) exchange() {
+	var together []aggregates.Values
+	for n, values := range f.contributions {
+		if !f.isolated[n] {
+			together = append(together, values)
+		}
+	}
+	total := aggregates.Sum(together)
+	for n, d := range f.dispatchers {
+		if f.isolated[n] {
+			d.ApplyTotals(f.clock(), f.contributions[n], f.contributions[n])
+		} else {
+			d.ApplyTotals(f.clock(), total, f.contributions[n])
+		}
+		f.contributions[n] = d.Contribution(f.clock())
+	}
+	f.Schedule(200*time.Millisecond, f.exchange)
+}
+
+func (f *emulatedFleet) request(n int) {
+	f.requests++
+	id := strconv.Itoa(f.requests)
+	task, fault := f.dispatchers[n].Admit(f.clock(), Request{ID: id, Route: f.route, ArrivedAt: f.clock(), Deadline: f.clock().Add(f.route.Timeout)})
+	if fault == nil {
+		f.next(n, task)
+	}
+}
+
+// next makes the next call of a task, or waits for room, as the front door does.
+func (f *emulatedFleet) next(n int, task *Task) {
+	d := f.dispatchers[n]
+	call, fault := d.NextCall(f.clock(), task)
+	if fault != nil {
+		if wait := d.WaitForRoom(f.clock(), task, fault); wait > 0 {
+			f.Schedule(wait, func() { f.next(n, task) })
+			return
+		}
+		f.refused++
+		f.worstRefusal = max(f.worstRefusal, f.clock().Sub(task.Request.ArrivedAt))
+		return
+	}
+	f.Schedule(serverDelay, func() {
+		d.RecordConnected(f.clock(), call, "")
+		f.arriveAtServer(call.Upstream.ID, func(result Result) {
+			f.Schedule(serverDelay, func() { f.end(n, task, call, result) })
+		})
+	})
+}
+
+// end records the end of a call.
+func (f *emulatedFleet) end(n int, task *Task, call *Call, result Result) {
+	d := f.dispatchers[n]
+	if result != Unreachable {
+		d.RecordUpstreamState(f.clock(), call, f.state(f.servers[call.Upstream.ID]))
+	}
+	if result == Served {
+		d.StartAnswer(f.clock(), task, call, -1)
+	}
+	d.EndCall(f.clock(), task, call, result)
+	if result != Served {
+		f.next(n, task)
+		return
+	}
+	f.served++
+	if f.clock().Sub(task.Request.ArrivedAt) <= f.route.LatencyTarget {
+		f.inTime++
+	}
+}
+
+// state returns what a server says of itself.
+func (f *emulatedFleet) state(s *emulatedServer) UpstreamState {
+	state := UpstreamState{MaxRejections: f.limit}
+	if s.named && f.Now() >= f.namedAt && (f.liftedAt == 0 || f.Now() < f.liftedAt) {
+		state.NamesLimit, state.MaxRate = true, f.rate
+	}
+	return state
+}
+
+// most returns the largest number of calls that arrived at the server in a window after a
+// time.
+func (s *emulatedServer) most(after, window time.Duration) int {
+	most, first := 0, 0
+	for n, at := range s.arrivals {
+		for s.arrivals[first] < max(after, at-window) {
+			if first++; first > n {
+				break
+			}
+		}
+		most = max(most, n-first+1)
+	}
+	return most
+}
+
+// arriveAtServer serves a call, or rejects it for want of room. A server that has rejected
+// more than it tolerates is down for three seconds.
+func (f *emulatedFleet) arriveAtServer(id tables.UpstreamID, done func(Result)) {
+	s := f.servers[id]
+	s.arrivals = append(s.arrivals, f.Now())
+	switch {
+	case f.Now() < s.downUntil:
+		done(Unreachable)
+	case s.running < serverSlots:
+		f.serve(s, done)
+	case len(s.queue) < serverQueue:
+		s.queue = append(s.queue, func() { f.serve(s, done) })
+	default:
+		s.rejected = append(s.rejected, f.Now())
+		for f.Now()-s.rejected[0] >= time.Second {
+			s.rejected = s.rejected[1:]
+		}
+		if f.limit > 0 && len(s.rejected) > f.limit {
+			s.falls++
+			s.rejected, s.downUntil = nil, f.Now()+3*time.Second
+		}
+		done(Refused)
+	}
+}
+
+func (f *emulatedFleet) serve(s *emulatedServer, done func(Result)) {
+	s.running++
+	f.Schedule(serverWork, func() {
+		s.running--
+		result := Served
+		if f.random.Float64() < f.failing {
+			result = Failed
+		}
+		done(result)
+		if len(s.queue) > 0 {
+			next := s.queue[0]
+			s.queue = s.queue[1:]
+			next()
+		}
+	})
+}
--- a/internal/core/dispatch/room.go
+++ b/internal/core/dispatch/room.go
@@ -41,18 +41,23 @@
 	if budget >= d.instances {
 		return budget / d.instances
 	}
-	rank, count := 0, len(s.upstreams)
+	count := len(s.upstreams)
+	callers := max(budget, (d.instances+count-1)/max(1, count))
+	if d.fleet.IsCaller(callers, s.rank(u), count) {
+		return 1
+	}
+	return 0
+}
+
+// rank returns the number of the service's upstreams whose IDs are lower.
+func (s *service) rank(u *placement.Upstream) int {
+	rank := 0
 	for _, other := range s.upstreams {
 		if other.ID < u.ID {
 			rank++
 		}
 	}
-	callers := max(budget, (d.instances+count-1)/max(1, count))
-	first := rank * d.instances / max(1, count)
-	if (d.position-first+d.instances)%d.instances < callers {
-		return 1
-	}
-	return 0
+	return rank
 }
 
 // WaitForRoom returns how long a task that got no call because of the fault waits before
--- a/internal/core/dispatch/task.go
+++ b/internal/core/dispatch/task.go
@@ -11,6 +11,7 @@
 	"mimosayard/internal/core/faults"
 	"mimosayard/internal/core/forecast"
 	"mimosayard/internal/core/links"
+	"mimosayard/internal/core/pacing"
 	"mimosayard/internal/core/placement"
 	"mimosayard/internal/core/quarantine"
 	"mimosayard/internal/core/tables"
@@ -273,6 +274,10 @@
 	// MaxRejections is the number of calls that it can reject in a second without
 	// harm, zero if it does not say so.
 	MaxRejections int
+	// NamesLimit is true if it names a limit on its calls, MaxRate, for all instances
+	// together.
+	NamesLimit bool
+	MaxRate    pacing.Rate
 }
 
 // RecordUpstreamState records what the upstream of a call says of itself.
@@ -289,6 +294,10 @@
 		call.upstream.StateRejections(now, state.MaxRejections)
 		d.limitRejections(now, call.upstream)
 	}
+	changed := call.upstream.Limit.RecordAnswer(now, state.MaxRate, state.NamesLimit)
+	if state.NamesLimit {
+		d.updateLimit(now, d.service(call.Upstream.Service), call.upstream, changed)
+	}
 }
 
 // ExtendStart returns how much longer to wait for the start of an answer whose
@@ -523,7 +532,7 @@
 	fault := noUpstream(name)
 	earliest := time.Time{}
 	for _, u := range candidates {
-		if u.Usable() && !u.MayReject(now) {
+		if u.Usable() && !u.HasRoom(now) {
 			return faults.New(faults.Overloaded, "the upstreams may have no room")
 		}
 		if u.Usable() && u.Deferred(now) && (earliest.IsZero() || u.NotBefore().Before(earliest)) {
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -20,6 +20,7 @@
 
 	"mimosayard/internal/core/catalog"
 	"mimosayard/internal/core/forecast"
+	"mimosayard/internal/core/pacing"
 	"mimosayard/internal/core/tables"
 )
 
@@ -45,6 +46,8 @@
 	leaving bool
 
 	rejections rejectionLimit
+	// Limit is the limit on its calls that the upstream names.
+	Limit pacing.Limit
 
 	catalog.Upstream
 	// Calls and Failures count this instance's recent calls and those of them
@@ -219,9 +222,28 @@
 	return u.notBefore
 }
 
+// HasRoom reports whether one more call is within the limits that the upstream has stated.
+func (u *Upstream) HasRoom(now time.Time) bool {
+	return u.MayReject(now) && u.Limit.Allows(now)
+}
+
+// RoomAt returns when one more call is within the limits that the upstream has stated, as
+// far as is known now, zero if that is not known.
+func (u *Upstream) RoomAt(now time.Time) time.Time {
+	rejected, paced := u.rejectionRoomAt(now), u.Limit.AllowsAt(now)
+	if rejected.IsZero() || paced.IsZero() {
+		return time.Time{}
+	}
+	if rejected.After(paced) {
+		return rejected
+	}
+	return paced
+}
+
 // RecordCall records that a call is sent. Calls to an upstream that wanted none return
 // one at a time, since all that waited for it would overload it again.
 func (u *Upstream) RecordCall(now time.Time) {
+	u.Limit.RecordCall(now)
 	if u.deferred {
 		u.notBefore = now.Add(probeInterval)
 	}
@@ -335,7 +357,7 @@
 // eligible reports whether the upstream belongs to the tier, given the
 // upstreams that the request was already sent to.
 func (u *Upstream) eligible(t tier, now time.Time, tried []tables.UpstreamID) bool {
-	if u.Deferred(now) || (u.rejections.limited && !u.MayReject(now)) {
+	if u.Deferred(now) || !u.HasRoom(now) {
 		return false
 	}
 	switch t {
--- a/internal/core/placement/rejections.go
+++ b/internal/core/placement/rejections.go
@@ -108,8 +108,9 @@
 	}
 }
 
-// RoomAt returns when the upstream tolerates another rejection, as far as is known now.
-func (u *Upstream) RoomAt(now time.Time) time.Time {
+// rejectionRoomAt returns when the upstream tolerates another rejection, as far as is known
+// now, zero if that is not known.
+func (u *Upstream) rejectionRoomAt(now time.Time) time.Time {
 	r := &u.rejections
 	if u.MayReject(now) {
 		return now
--- a/internal/edge/ingress/calls.go
+++ b/internal/edge/ingress/calls.go
@@ -17,6 +17,7 @@
 	"mimosayard/internal/core/dispatch"
 	"mimosayard/internal/core/faults"
 	"mimosayard/internal/core/links"
+	"mimosayard/internal/core/pacing"
 	"mimosayard/internal/core/quarantine"
 	"mimosayard/internal/core/tables"
 	"mimosayard/platform"
@@ -151,7 +152,10 @@
 	if meta.ID != x.metadata.ID {
 		return
 	}
-	state := dispatch.UpstreamState{Leaving: meta.Leaving, RetryAfter: meta.RetryAfter, MaxRejections: meta.MaxRejections}
+	state := dispatch.UpstreamState{
+		Leaving: meta.Leaving, RetryAfter: meta.RetryAfter, MaxRejections: meta.MaxRejections,
+		NamesLimit: meta.NamesLimit, MaxRate: pacing.Rate(meta.MaxRate),
+	}
 	x.server.Dispatcher.RecordUpstreamState(time.Now(), call, state)
 	if state.Leaving || state.RetryAfter > 0 {
 		x.callSummaries = append(x.callSummaries, fmt.Sprintf("%s leaving %t retry after %d", call.Upstream.ID, state.Leaving, state.RetryAfter.Milliseconds()))
--- a/internal/evaluation/loadsim/simulation.go
+++ b/internal/evaluation/loadsim/simulation.go
@@ -113,7 +113,7 @@
 		d := dispatch.New(s.dataCenter(n), limits, rand.New(rand.NewPCG(s.random.Uint64(), uint64(n))))
 		d.SetCatalog(config)
 		d.SetUpstreams(s.clock(), s.upstreams)
-		d.SetFleetPosition(n, s.load.Instances)
+		d.SetFleetPosition(s.clock(), n, s.load.Instances)
 		s.instances = append(s.instances, d)
 	}
 }
--- a/internal/instance/entry/tasks.go
+++ b/internal/instance/entry/tasks.go
@@ -166,7 +166,8 @@
 // applyTotals applies the fleet's totals, of which reported is the part of this
 // instance, and logs the versions and prompt parts that they show to be bad.
 func (i *Instance) applyTotals(now time.Time, totals, reported aggregates.Values) {
-	i.dispatcher.SetFleetPosition(i.node.FleetPosition())
+	position, count := i.node.FleetPosition()
+	i.dispatcher.SetFleetPosition(now, position, count)
 	for _, v := range i.dispatcher.ApplyTotals(now, totals, reported) {
 		events.VersionJudgedBad.Log(i.log,
 			zap.String("service", string(v.Service)), zap.String("version", string(v.Version)),
@@ -174,6 +175,10 @@
 			zap.Any("new", v.TargetEvidence), zap.Any("old", v.BaselineEvidence))
 	}
 	i.logQuarantineChanges()
+	for _, change := range i.dispatcher.LimitChanges() {
+		events.UpstreamLimited.Log(i.log, zap.String("upstream", string(change.Upstream)), zap.Bool("named", change.Named),
+			zap.Float64("limit", float64(change.Limit)), zap.Float64("share", float64(change.Share)))
+	}
 }
 
 // logQuarantineChanges logs the prompt parts that were quarantined or released, and
--- a/internal/telemetry/events/events.go
+++ b/internal/telemetry/events/events.go
@@ -69,6 +69,11 @@
 	LinksBack = Event{411, zap.InfoLevel, "own links to upstreams are back", "None."}
 )
 
+// Events of the limits that upstreams name.
+var (
+	UpstreamLimited = Event{420, zap.InfoLevel, "limit that an upstream names has changed", "None; if callers are refused as overloaded, look at the upstream for why it limits its calls."}
+)
+
 // Events of versions and their rollouts.
 var (
 	RolloutAdvanced  = Event{500, zap.InfoLevel, "rollout advanced to its next step", "None."}
@@ -104,7 +109,7 @@
 		ConfigInForce, ConfigAccepted, ConfigRejected, ConfigUnreadable,
 		PlatformUnavailable, PlatformAvailable, RaterUnavailable, WatchHistoryExpired, ObjectsChanged, ObjectUndecodable, RolloutStatusWritten, RolloutStatusNotWritten,
 		PeerDown, BillCopiesHeld, PeerBillsSettled, BillsPending, BillLimitReached, BillNotCopied,
-		LinksLost, LinksBack,
+		LinksLost, LinksBack, UpstreamLimited,
 		RolloutAdvanced, VersionWithdrawn, VersionJudgedBad, PartQuarantined, PartReleased, PartNotStored,
 		OrderAcknowledged, OrdersFailed,
 		RequestFailed, RequestServed, IdempotencyKeyNotReleased,
