Estimate a team's demand alike at all instances

An instance took its own demand right after a call, when the estimate is highest, and the others' as of any time, so all shares together were more than one. Change: the share is computed from the mean of the estimate before and after the call.

--- a/internal/core/allowances/allowances.go
+++ b/internal/core/allowances/allowances.go
@@ -142,13 +142,20 @@
 // or returns the refusal. Either way the request counts as demand.
 func (l *Limiter) Admit(now time.Time, limits tables.Allowance, tokens float64) *faults.Error {
 	l.decay(now)
-	l.local.RequestsPerSecond += 1 / demandTimeConstant.Seconds()
-	l.local.TokensPerSecond += tokens / demandTimeConstant.Seconds()
+	callDemand := Demand{RequestsPerSecond: 1 / demandTimeConstant.Seconds(), TokensPerSecond: tokens / demandTimeConstant.Seconds()}
+	// The estimate is highest right after a call. The mean of it before and after is that
+	// of any time, as which the other instances report it.
+	estimate := Demand{
+		RequestsPerSecond: l.local.RequestsPerSecond + callDemand.RequestsPerSecond/2,
+		TokensPerSecond:   l.local.TokensPerSecond + callDemand.TokensPerSecond/2,
+	}
+	l.local.RequestsPerSecond += callDemand.RequestsPerSecond
+	l.local.TokensPerSecond += callDemand.TokensPerSecond
 	if fault := l.checkConcurrency(limits); fault != nil {
 		return fault
 	}
-	requestRate := RateLimit(limits.RequestsPerSecond) * l.localShare(l.local.RequestsPerSecond, l.reported.RequestsPerSecond, l.fleet.RequestsPerSecond)
-	tokenRate := min(RateLimit(limits.TokensPerSecond), l.rateCeiling()) * l.localShare(l.local.TokensPerSecond, l.reported.TokensPerSecond, l.fleet.TokensPerSecond)
+	requestRate := RateLimit(limits.RequestsPerSecond) * l.localShare(estimate.RequestsPerSecond, l.reported.RequestsPerSecond, l.fleet.RequestsPerSecond)
+	tokenRate := min(RateLimit(limits.TokensPerSecond), l.rateCeiling()) * l.localShare(estimate.TokensPerSecond, l.reported.TokensPerSecond, l.fleet.TokensPerSecond)
 	l.requests.refill(now, requestRate, 1)
 	l.tokens.refill(now, tokenRate, tokens)
 	if wait := max(l.requests.wait(requestRate, 1), l.tokens.wait(tokenRate, tokens)); wait > 0 {
