Keep the limits of upstreams at the product's own interface

Change: the header X-Load-Limit of an answer is a limit as on a shared platform, by the same core/pacing; its sums over the fleet and its log (event 420) are one piece of code for both front doors. A request for which all upstreams of a pool are at their limits fails at once, as overloaded and not run, with the time of the next free call. Conclusion: both doors keep limits.

--- a/internal/backend/upstreams/chat.go
+++ b/internal/backend/upstreams/chat.go
@@ -50,6 +50,8 @@
 	// OnLoad receives the load report in the answer's header, if there is one.
 	// It may be nil.
 	OnLoad func(routing.LoadReport)
+	// OnLimit receives what the answer says of the upstream's limit, unless nil.
+	OnLimit LimitFunc
 	// OnEvent receives each event before the end of the stream. An error ends
 	// the call, which returns it.
 	OnEvent func(ChatEvent) error
@@ -114,6 +116,9 @@
 		return Usage{}, c.classifyError(ctx, a, call.Address, err)
 	}
 	defer func() { _ = response.Body.Close() }()
+	if response.Header.Get(headerRequestID) == call.RequestID {
+		callbacks.OnLimit.report(response.Header)
+	}
 	if fault := checkResponse(response, call.RequestID); fault != nil {
 		return Usage{}, fault
 	}
--- a/internal/backend/upstreams/plain.go
+++ b/internal/backend/upstreams/plain.go
@@ -39,6 +39,8 @@
 	// AtMostOnce is true if the call must not be sent twice. Such a call gets
 	// a new connection, since an idle one may be dead.
 	AtMostOnce bool
+	// OnLimit receives what the answer says of the upstream's limit, unless nil.
+	OnLimit LimitFunc
 }
 
 // A PlainResponse is the complete response of a plain service.
@@ -77,6 +79,7 @@
 	if response.Header.Get(headerRequestID) != call.RequestID && response.StatusCode < http.StatusInternalServerError {
 		return PlainResponse{}, faults.New(faults.AnswerMismatched, "")
 	}
+	call.OnLimit.report(response.Header)
 	a.timer.Reset(c.progressTimeout())
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
 	if err != nil {
--- a/internal/backend/upstreams/upstreams.go
+++ b/internal/backend/upstreams/upstreams.go
@@ -19,6 +19,7 @@
 
 	"mimosayard/internal/backend/connect"
 	"mimosayard/internal/core/faults"
+	"mimosayard/internal/core/pacing"
 	"mimosayard/internal/core/routing"
 	"mimosayard/internal/core/tables"
 )
@@ -63,13 +64,16 @@
 	// loadTimeout is the timeout for FetchLoad.
 	loadTimeout = time.Second
 	// idleTimeout is the time after which an idle connection is closed.
-	idleTimeout             = 30 * time.Second
+	idleTimeout = 30 * time.Second
+	// maxLimit bounds the limit that an upstream names.
+	maxLimit                = 1e9
 	maxIdleConnsPerUpstream = 64
 
 	headerRequestID   = "X-Request-Id"
 	headerPriority    = "X-Priority"
 	headerLoadRunning = "X-Load-Running"
 	headerLoadWaiting = "X-Load-Waiting-Tokens"
+	headerLoadLimit   = "X-Load-Limit"
 )
 
 var errNoProgress = errors.New("no progress before the timeout")
@@ -88,6 +92,24 @@
 	return routing.LoadReport{Running: running, WaitingTokens: tables.Tokens(waiting), TakenAt: now}, true
 }
 
+// A LimitFunc receives what an answer says of the upstream's limit on its calls. Named is
+// false if it names none.
+type LimitFunc func(rate pacing.Rate, named bool)
+
+// report passes the limit in the header of an answer on. A limit that is no number, or
+// negative, is ignored.
+func (f LimitFunc) report(header http.Header) {
+	text := header.Get(headerLoadLimit)
+	rate, err := strconv.ParseFloat(text, 64)
+	switch {
+	case f == nil:
+	case text == "":
+		f(0, false)
+	case err == nil && rate >= 0:
+		f(pacing.Rate(min(rate, maxLimit)), true)
+	}
+}
+
 // Close closes all idle connections.
 func (c *Client) Close() {
 	c.mutex.Lock()
--- a/internal/core/dispatch/dispatch.go
+++ b/internal/core/dispatch/dispatch.go
@@ -43,10 +43,9 @@
 	// pacing.MinInstances.
 	instances int
 	fleet     pacing.Fleet
-	// limitsChanged are the upstreams whose limits have changed and that LimitChanges has
-	// not returned yet.
-	limitsChanged []*placement.Upstream
-	sessions      sessionTable
+	// limitChanges are the changes that LimitChanges has not returned yet.
+	limitChanges pacing.Changes
+	sessions     sessionTable
 	// totals are the fleet's sums as of the last ApplyTotals.
 	totals     aggregates.Values
 	quarantine quarantine.Table
--- a/internal/core/dispatch/evidence.go
+++ b/internal/core/dispatch/evidence.go
@@ -6,6 +6,7 @@
 
 	"mimosayard/internal/core/aggregates"
 	"mimosayard/internal/core/catalog"
+	"mimosayard/internal/core/pacing"
 	"mimosayard/internal/core/placement"
 	"mimosayard/internal/core/releases"
 	"mimosayard/internal/core/tables"
@@ -94,7 +95,9 @@
 				set(statementKey(valueRejections, u), float64(limit))
 				set(statementKey(valueStatements, u), 1)
 			}
-			contributeLimit(now, u, set)
+			if statement := u.Limit.Statement(now); !statement.IsEmpty() {
+				statement.Contribute(lifeName(u), set)
+			}
 		}
 		for key, evidence := range s.evidence {
 			for _, field := range evidenceFields {
@@ -128,8 +131,8 @@
 			if totals[anyStatementKey] > 0 || u.RejectionsLimited() {
 				d.limitRejections(now, u)
 			}
-			if _, named := u.Limit.Named(); named || totals[anyLimitKey] > 0 {
-				d.applyLimit(now, s, u, reported)
+			if _, named := u.Limit.Named(); named || totals[pacing.AnyKey] > 0 {
+				d.updateLimit(now, s, u, u.Limit.ApplyTotals(now, lifeName(u), totals, reported))
 			}
 		}
 		verdicts = append(verdicts, d.judgeRollout(s, totals, reported)...)
--- a/internal/core/dispatch/task.go
+++ b/internal/core/dispatch/task.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -409,7 +408,7 @@
 // recordForQuarantine records what the end of a call shows about the parts of its
 // prompt.
 func (d *Dispatcher) recordForQuarantine(now time.Time, task *Task, call *Call, result Result) {
-	life := quarantine.Life(string(call.Upstream.ID) + "/" + strconv.FormatInt(call.Upstream.Incarnation, 10))
+	life := quarantine.Life(lifeName(call.upstream))
 	switch {
 	case call.events > 0, result == Served && call.started && (call.hasEvent || task.Request.Route.Kind != catalog.Streaming):
 		parts := task.Request.SharedParts
--- a/internal/core/pacing/pacing.go
+++ b/internal/core/pacing/pacing.go
@@ -112,6 +112,11 @@
 	return false
 }
 
+// IsEmpty reports whether the statement says nothing.
+func (s Statement) IsEmpty() bool {
+	return s == Statement{}
+}
+
 // SetShare sets this instance's part of the limit.
 func (l *Limit) SetShare(now time.Time, share Rate) {
 	l.refill(now)
--- a/internal/core/router/router.go
+++ b/internal/core/router/router.go
@@ -12,6 +12,7 @@
 	"mimosayard/internal/core/aggregates"
 	"mimosayard/internal/core/allowances"
 	"mimosayard/internal/core/cascades"
+	"mimosayard/internal/core/pacing"
 	"mimosayard/internal/core/rollouts"
 	"mimosayard/internal/core/routing"
 	"mimosayard/internal/core/tables"
@@ -56,6 +57,9 @@
 	cellKeys   map[cascades.Cell]cellKeys
 	ratingRefs pendingRatings
 	retries    retryBudget
+	fleet      pacing.Fleet
+	// limitChanges are the changes that LimitChanges has not returned yet.
+	limitChanges pacing.Changes
 	// leaving holds the upstreams that are leaving according to the platform's
 	// list.
 	leaving map[tables.UpstreamID]bool
--- a/internal/core/router/task.go
+++ b/internal/core/router/task.go
@@ -132,7 +132,7 @@
 	call := r.routingCall(task, state, avoid)
 	choice, ok := state.upstreams.Choose(now, call, r.random)
 	if !ok {
-		return nil, faults.New(faults.NoUpstream, string(state.pool.Name))
+		return nil, state.noUpstream(now)
 	}
 	if fault := r.checkDeadline(now, task, choice.ExpectedWait); fault != nil {
 		return nil, fault
--- a/internal/core/router/tick.go
+++ b/internal/core/router/tick.go
@@ -34,6 +34,7 @@
 	for _, load := range r.serviceLoads {
 		load.write(now, values)
 	}
+	r.contributeLimits(now, values)
 	return values
 }
 
@@ -44,6 +45,7 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	r.fleetTotals, r.ownReported = fleetTotals, ownReported
+	r.applyLimits(now, fleetTotals, ownReported)
 	if r.index == nil {
 		return nil
 	}
--- a/internal/core/routing/routing.go
+++ b/internal/core/routing/routing.go
@@ -285,6 +285,19 @@
 	return best
 }
 
+// RoomAt returns when the first of the upstreams at their limits takes another call, zero if
+// none is at its limit.
+func (s *UpstreamSet) RoomAt(now time.Time) time.Time {
+	earliest := time.Time{}
+	for _, u := range s.upstreams {
+		at := u.Limit.AllowsAt(now)
+		if at.After(now) && (earliest.IsZero() || at.Before(earliest)) {
+			earliest = at
+		}
+	}
+	return earliest
+}
+
 // upstreamByName returns the upstream with a name, or nil.
 func (s *UpstreamSet) upstreamByName(name tables.UpstreamID) *Upstream {
 	if name == "" {
@@ -299,12 +312,12 @@
 }
 
 // chooseInCooldown returns the upstream whose cooldown ends first, or false if
-// all are draining, leaving or avoided. If no upstream accepts the call, trying
+// all are draining, leaving, avoided or at their limits. If no upstream accepts the call, trying
 // one is better than refusing all requests until a cooldown ends.
 func (s *UpstreamSet) chooseInCooldown(now time.Time, call Call) (Choice, bool) {
 	var best *Upstream
 	for _, u := range s.upstreams {
-		if u.Config.Draining || u.leaving || u.Config.Name == call.Avoid {
+		if u.Config.Draining || u.leaving || u.Config.Name == call.Avoid || !u.Limit.Allows(now) {
 			continue
 		}
 		if best == nil || u.cooldownUntil.Before(best.cooldownUntil) {
--- a/internal/core/routing/upstream.go
+++ b/internal/core/routing/upstream.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"mimosayard/internal/core/pacing"
 	"mimosayard/internal/core/tables"
 )
 
@@ -15,6 +16,9 @@
 	// InFlight is the number of the instance's own calls in progress.
 	InFlight int
 
+	// Limit is the limit on its calls that the upstream names.
+	Limit pacing.Limit
+
 	// hash is the hash of the name, for rendezvous hashing.
 	hash uint64
 	// leaving is true if the upstream is leaving according to the platform's
@@ -98,7 +102,7 @@
 // draining, leaving, avoided nor in a cooldown, and below its limit if it is
 // ramping up.
 func (u *Upstream) accepts(now time.Time, call Call) bool {
-	if u.Config.Draining || u.leaving || u.Config.Name == call.Avoid || now.Before(u.cooldownUntil) {
+	if u.Config.Draining || u.leaving || u.Config.Name == call.Avoid || now.Before(u.cooldownUntil) || !u.Limit.Allows(now) {
 		return false
 	}
 	rampingUp := !u.rampUpFrom.IsZero() && now.Sub(u.rampUpFrom) < rampUpDuration
@@ -150,6 +154,7 @@
 	if u.awaitingFirstToken == 0 {
 		u.lastProgressAt = now
 	}
+	u.Limit.RecordCall(now)
 	u.InFlight++
 	u.awaitingFirstToken++
 	u.sentTimes[u.nextSent] = now.UnixNano()
--- a/internal/edge/callers/chat.go
+++ b/internal/edge/callers/chat.go
@@ -251,6 +251,7 @@
 		OnLoad: func(report routing.LoadReport) {
 			x.server.Router.RecordLoad(step.Pool.Name, step.Choice.Upstream.Config.Name, report)
 		},
+		OnLimit: x.limitRecorder(step),
 		OnEvent: c.handleEvent,
 	})
 	if err == nil && !c.accepted {
--- a/internal/edge/callers/plain.go
+++ b/internal/edge/callers/plain.go
@@ -12,6 +12,7 @@
 	"mimosayard/internal/backend/upstreams"
 	"mimosayard/internal/core/billing"
 	"mimosayard/internal/core/faults"
+	"mimosayard/internal/core/pacing"
 	"mimosayard/internal/core/router"
 	"mimosayard/internal/core/tables"
 )
@@ -113,6 +114,7 @@
 			return upstreams.PlainResponse{}, history.refusal(fault)
 		}
 		call.Address = step.Choice.Upstream.Config.Address
+		call.OnLimit = x.limitRecorder(step)
 		answer, err := x.server.UpstreamClient.CallPlain(ctx, call)
 		outcome := router.Outcome{Failed: err != nil}
 		if err != nil {
@@ -134,6 +136,12 @@
 	}
 }
 
+// limitRecorder returns a function that records what the answer to a call says of the limit of
+// its upstream.
+func (x *exchange) limitRecorder(step *router.Step) upstreams.LimitFunc {
+	return func(rate pacing.Rate, named bool) { x.server.Router.RecordLimit(time.Now(), step, rate, named) }
+}
+
 // callWithIdempotencyKey acquires the idempotency key of a call that must not
 // run twice, and makes the call. If an earlier request holds the key, its
 // stored answer is replayed. The key is released only if the call failed
--- a/internal/instance/entry/tasks.go
+++ b/internal/instance/entry/tasks.go
@@ -175,10 +175,7 @@
 			zap.Any("new", v.TargetEvidence), zap.Any("old", v.BaselineEvidence))
 	}
 	i.logQuarantineChanges()
-	for _, change := range i.dispatcher.LimitChanges() {
-		events.UpstreamLimited.Log(i.log, zap.String("upstream", string(change.Upstream)), zap.Bool("named", change.Named),
-			zap.Float64("limit", float64(change.Limit)), zap.Float64("share", float64(change.Share)))
-	}
+	events.LogLimits(i.log, i.dispatcher.LimitChanges())
 }
 
 // logQuarantineChanges logs the prompt parts that were quarantined or released, and
--- a/internal/instance/service/tasks.go
+++ b/internal/instance/service/tasks.go
@@ -180,11 +180,14 @@
 // handleTotals advances the router with the fleet's totals and this instance's
 // part in them, publishes rollout progress that results, and updates the gauges.
 func (i *Instance) handleTotals(now time.Time, totals, reported aggregates.Values) {
+	position, count := i.node.FleetPosition()
+	i.router.SetFleetPosition(now, position, count)
 	for _, p := range i.router.Tick(now, totals, reported) {
 		i.logProgress(p)
 		i.config.markProgressDirty()
 		i.node.CallParentNow()
 	}
+	events.LogLimits(i.log, i.router.LimitChanges())
 	open, held := i.bills.Counts()
 	i.metrics.SetGauge("bills_open", float64(open))
 	i.metrics.SetGauge("bills_held", float64(held))
