Refuse at once what the limits of all upstreams leave no room for

Callers of a service whose upstreams all name limits were held for half of their target and then refused, urgent ones as often as others. Cause: each request looked for room by itself, whoever asked first got it. Change: dispatch/waiting.go keeps the requests that wait, by rank (the team's priority, else the route's); every fourth call goes to the oldest of the less urgent. A request that would wait for more than half of its target is refused at once, with a time to return of once to twice its wait, spread by its ID. A caller that leaves no longer waits. Conclusion: refusals come at once and by rank, no rank is starved.

--- a/internal/core/dispatch/dispatch.go
+++ b/internal/core/dispatch/dispatch.go
@@ -77,6 +77,7 @@
 	latencies map[latencyKey]*latencyStats
 	// estimators predict the start of the answers of each model.
 	estimators map[tables.ModelID]*forecast.Estimator
+	waiting    waitingList
 	// urgencies is the mix of urgencies in the prompts of recent calls.
 	urgencies urgencyMix
 }
--- a/internal/core/dispatch/fleet_test.go
+++ b/internal/core/dispatch/fleet_test.go
@@ -25,6 +25,10 @@
 	limited           int
 	rate              pacing.Rate
 	namedAt, liftedAt time.Duration
+	// target is the latency target of the requests, zero for 100 ms.
+	target time.Duration
+	// ranks is the number of ranks of the requests. One in ranks has the highest.
+	ranks int
 	// failing is the part of the calls that the upstreams answer with a failure.
 	failing float64
 	// onEvent, if not nil, is called at eventAt.
@@ -45,15 +49,25 @@
 	contributions []aggregates.Values
 	route         *catalog.Route
 	requests      int
+	ranked        []rankCount
 	served        int
 	inTime        int
 	refused       int
 	// isolated are the instances that exchange no sums with the others.
 	isolated map[int]bool
+	// heldRefusals is the total time until the refused requests were refused, returns the
+	// times at which their callers may come back.
+	heldRefusals time.Duration
+	returns      []time.Duration
 	// worstRefusal is the longest time until a request was refused.
 	worstRefusal time.Duration
 }
 
+// rankCount counts the requests of one rank and those that were served.
+type rankCount struct {
+	requests, served int
+}
+
 // emulatedServer is an upstream that serves slots calls at once and lets few wait.
 type emulatedServer struct {
 	running   int
@@ -78,10 +92,14 @@
 func newEmulatedFleet(load fleetLoad) *emulatedFleet {
 	f := &emulatedFleet{fleetLoad: load, random: rand.New(rand.NewPCG(3, 4)), servers: map[tables.UpstreamID]*emulatedServer{}}
 	f.contributions = make([]aggregates.Values, load.instances)
+	f.ranked = make([]rankCount, max(1, load.ranks))
 	f.route = &catalog.Route{
 		Name: "r", Kind: catalog.Safe, MaxAttempts: 3, LatencyTarget: 100 * time.Millisecond, Timeout: time.Second,
 		Split: []catalog.Share{{Service: "desk", Weight: 1}},
 	}
+	if load.target > 0 {
+		f.route.LatencyTarget, f.route.Timeout = load.target, 10*load.target
+	}
 	for i := range load.upstreams {
 		id := tables.UpstreamID(fmt.Sprintf("u-%d", i))
 		f.entries = append(f.entries, catalog.Upstream{ID: id, Service: "desk", Address: string(id), Version: "v1", Slots: serverSlots, Ready: true})
@@ -150,7 +168,9 @@
 func (f *emulatedFleet) request(n int) {
 	f.requests++
 	id := strconv.Itoa(f.requests)
-	task, fault := f.dispatchers[n].Admit(f.clock(), Request{ID: id, Route: f.route, ArrivedAt: f.clock(), Deadline: f.clock().Add(f.route.Timeout)})
+	rank := f.requests % max(1, f.ranks)
+	f.ranked[rank].requests++
+	task, fault := f.dispatchers[n].Admit(f.clock(), Request{ID: id, Route: f.route, Rank: rank, ArrivedAt: f.clock(), Deadline: f.clock().Add(f.route.Timeout)})
 	if fault == nil {
 		f.next(n, task)
 	}
@@ -166,6 +186,8 @@
 			return
 		}
 		f.refused++
+		f.heldRefusals += f.clock().Sub(task.Request.ArrivedAt)
+		f.returns = append(f.returns, f.Now()+fault.RetryAfter)
 		f.worstRefusal = max(f.worstRefusal, f.clock().Sub(task.Request.ArrivedAt))
 		return
 	}
@@ -192,6 +214,7 @@
 		return
 	}
 	f.served++
+	f.ranked[task.Request.Rank].served++
 	if f.clock().Sub(task.Request.ArrivedAt) <= f.route.LatencyTarget {
 		f.inTime++
 	}
--- a/internal/core/dispatch/limits_test.go
+++ b/internal/core/dispatch/limits_test.go
@@ -1,12 +1,14 @@
 package dispatch
 
 import (
+	"slices"
 	"strconv"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"mimosayard/internal/core/catalog"
 	"mimosayard/internal/core/pacing"
 )
 
@@ -121,3 +123,69 @@
 		})
 	}
 }
+
+// TestRequestsBeyondTheLimitsAreRefusedAtOnce guards against requests that are held although
+// the limits of all upstreams leave no room for them in time, against urgent ones that are
+// refused for others, against ranks that are starved, and against callers that are all told
+// to return at one time. The load is three times what the limits of all upstreams allow.
+func TestRequestsBeyondTheLimitsAreRefusedAtOnce(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		target time.Duration
+		// urgent is by how much more often urgent requests are served than all, at least.
+		urgent float64
+	}{
+		{"many can wait", time.Second, 1.4},
+		{"hardly one can wait", 100 * time.Millisecond, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			f := newEmulatedFleet(fleetLoad{instances: 8, upstreams: 4, limited: 4, rate: 50, overload: 0.5, ranks: 2, target: c.target})
+			f.run()
+			urgent, other := f.ranked[0], f.ranked[1]
+			all := float64(f.served) / float64(f.requests)
+			held := f.heldRefusals / time.Duration(f.refused)
+			returning := mostWithin(f.returns, 100*time.Millisecond)
+			t.Logf("served %d of %d urgent ones, %d of %d others; refused after %v, at most %v; %d of %d return in one tenth of a second",
+				urgent.served, urgent.requests, other.served, other.requests, held, f.worstRefusal, returning, len(f.returns))
+			is.True(float64(f.served) >= 0.75*4*50*loadSeconds)
+			is.True(f.inTime*100 >= f.served*95)
+			is.True(held <= f.route.LatencyTarget/8)
+			is.True(f.worstRefusal <= f.route.LatencyTarget)
+			is.True(float64(urgent.served)/float64(urgent.requests) >= c.urgent*all)
+			is.True(float64(other.served)/float64(other.requests) >= all/4)
+			is.True(returning*10 <= len(f.returns))
+		})
+	}
+}
+
+// mostWithin returns the largest number of times that are within a window.
+func mostWithin(times []time.Duration, window time.Duration) int {
+	slices.Sort(times)
+	most := 0
+	for n, at := range times {
+		end, _ := slices.BinarySearch(times, at+window)
+		most = max(most, end-n)
+	}
+	return most
+}
+
+// TestCallersThatLeaveDoNotBlockOthers guards against requests that wait behind one whose
+// caller has left.
+func TestCallersThatLeaveDoNotBlockOthers(t *testing.T) {
+	is := is.New(t)
+	d := newDispatcher(newUpstreams("v1", 1)...)
+	route := newRoute(catalog.Safe)
+	call := mustNextCall(t, d, mustAdmit(t, d, route, "first"))
+	d.RecordUpstreamState(now, call, UpstreamState{NamesLimit: true, MaxRate: 80})
+	left, waits := mustAdmit(t, d, route, "left"), mustAdmit(t, d, route, "waits")
+	left.Request.ArrivedAt = now.Add(-time.Millisecond)
+	_, fault := d.NextCall(now, left)
+	wait := d.WaitForRoom(now, left, fault)
+	is.True(wait > 0)
+	_, fault = d.NextCall(now.Add(wait), waits)
+	is.True(fault != nil)
+	d.StopWaiting(left)
+	_, fault = d.NextCall(now.Add(wait), waits)
+	is.Equal(fault, nil)
+}
--- a/internal/core/dispatch/room.go
+++ b/internal/core/dispatch/room.go
@@ -3,20 +3,12 @@
 import (
 	"time"
 
-	"mimosayard/internal/core/faults"
 	"mimosayard/internal/core/placement"
 )
 
-const (
-	// rejectionMargin is the fraction of an upstream's tolerated rejections that the
-	// fleet uses. Instances may disagree for a moment on the size of the fleet.
-	rejectionMargin = 0.9
-	// maxRoomWaitFraction is the fraction of its target for which a request waits for
-	// room. The rest is for its run.
-	maxRoomWaitFraction = 0.5
-	// minRoomWait is the shortest time between two looks for room.
-	minRoomWait = 2 * time.Millisecond
-)
+// rejectionMargin is the fraction of an upstream's tolerated rejections that the fleet uses.
+// Instances may disagree for a moment on the size of the fleet.
+const rejectionMargin = 0.9
 
 // limitRejections sets the limit on an upstream's rejections from what it has said to
 // this instance lately, or else to others.
@@ -59,28 +51,3 @@
 	}
 	return rank
 }
-
-// WaitForRoom returns how long a task that got no call because of the fault waits before
-// it asks again, zero if it is to be refused. It waits only as long as it may still be
-// served within its target.
-func (d *Dispatcher) WaitForRoom(now time.Time, task *Task, fault *faults.Error) time.Duration {
-	if fault.Kind != faults.Overloaded {
-		return 0
-	}
-	latest := task.Request.ArrivedAt.Add(time.Duration(maxRoomWaitFraction * float64(task.latencyTarget())))
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	_, candidates := d.candidates(now, task)
-	earliest := time.Time{}
-	for _, u := range candidates {
-		if at := u.RoomAt(now); u.Usable() && !at.IsZero() && (earliest.IsZero() || at.Before(earliest)) {
-			earliest = at
-		}
-	}
-	// Calls that end make room before that.
-	wait := max(minRoomWait, min(earliest.Sub(now), latest.Sub(now)/4))
-	if earliest.IsZero() || now.Add(wait).After(latest) {
-		return 0
-	}
-	return wait
-}
--- a/internal/core/dispatch/task.go
+++ b/internal/core/dispatch/task.go
@@ -39,6 +39,8 @@
 	ArrivedAt   time.Time
 	// Deadline is the earlier of the caller's and the route's deadline.
 	Deadline time.Time
+	// Rank is the order among requests that wait for room; 0 is the most urgent.
+	Rank int
 }
 
 // A Task is a request that is being served. It is used by one goroutine at a
@@ -173,6 +175,12 @@
 		return nil, fault
 	}
 	version, candidates := d.candidates(now, task)
+	if task.calls == 0 {
+		task.version = version
+	}
+	if task.service.waiting.mustWait(now, task) {
+		return nil, faults.New(faults.Overloaded, "others wait for room at the upstreams")
+	}
 	criteria := placement.Criteria{DataCenter: d.dataCenter, Tried: task.tried}
 	wait := placement.PromptWait{}
 	if task.readsPrompt() {
@@ -184,6 +192,7 @@
 		return nil, noUpstreamNow(now, task.service.name, candidates)
 	}
 	u.RecordCall(now)
+	task.service.waiting.remove(task, true)
 	if task.arrivals > 0 {
 		task.service.retries.CountRetry(now, d.limits.Retries)
 	}
--- a/internal/edge/ingress/ingress.go
+++ b/internal/edge/ingress/ingress.go
@@ -249,9 +249,18 @@
 		ContentPart:     x.contentPart,
 		ArrivedAt:       x.arrived,
 		Deadline:        x.arrived.Add(timeout),
+		Rank:            x.rank(),
 	}
 }
 
+// rank returns the priority of the team if it has one of its own, else that of the route.
+func (x *exchange) rank() int {
+	if x.team != nil && x.team.Priority != nil {
+		return *x.team.Priority
+	}
+	return x.route.Priority
+}
+
 // defaultRequestTimeout applies if neither the caller nor the route sets one.
 const defaultRequestTimeout = 30 * time.Second
 
@@ -286,6 +295,7 @@
 		}
 		wait := x.server.Dispatcher.WaitForRoom(time.Now(), x.task, fault)
 		if wait <= 0 || !delay.Sleep(ctx, wait) {
+			x.server.Dispatcher.StopWaiting(x.task)
 			return nil, fault
 		}
 	}
