Log what a refused request repeats and why it was released

Change: the refusal's detail names the part that decides, a broken call ends with the content of its request, event 511 has a reason, 510 and 511 say part or request. No decision changes. Measured: nothing to measure but the tests, which pass. Conclusion: one grep by the name gives a request's story at an instance.

--- a/internal/core/dispatch/task.go
+++ b/internal/core/dispatch/task.go
@@ -453,12 +453,13 @@
 	if !d.quarantine.HasEvidence() {
 		return nil
 	}
-	switch d.quarantine.Check(now, task.suspectParts()) {
+	decision, part := d.quarantine.Check(now, task.suspectParts())
+	switch decision {
 	case quarantine.Refused:
-		return faults.New(faults.PromptQuarantined, "")
+		return faults.New(faults.PromptQuarantined, string(part))
 	case quarantine.Suspect:
 		if task.losses > 0 {
-			return faults.New(faults.UpstreamFailed, "the request or a part of its prompt may crash upstreams")
+			return faults.New(faults.UpstreamFailed, "may crash upstreams: "+string(part))
 		}
 	case quarantine.Allowed:
 	}
--- a/internal/core/quarantine/entries.go
+++ b/internal/core/quarantine/entries.go
@@ -44,6 +44,6 @@
 	t.answered[part] = now
 	t.clear(part)
 	t.shareAnswer(part)
-	t.release(part, true)
+	t.release(part, true, ReleasedByOperator)
 	return true
 }
--- a/internal/core/quarantine/fleet.go
+++ b/internal/core/quarantine/fleet.go
@@ -131,8 +131,11 @@
 // applyAnswers clears and releases the parts that other instances saw answers to.
 func (t *Table) applyAnswers() {
 	for part := range t.quarantined {
-		if t.sharedAnswers[part] || t.fleet.others(keyAnswers, part) > 0 {
-			t.release(part, t.sharedAnswers[part])
+		switch {
+		case t.sharedAnswers[part]:
+			t.release(part, true, ReleasedByAnswer)
+		case t.fleet.others(keyAnswers, part) > 0:
+			t.release(part, false, ReleasedByPeer)
 		}
 	}
 	cleared := map[PartID]bool{}
@@ -158,7 +161,7 @@
 	}
 	for part, s := range t.quarantined {
 		if now.Sub(s.since) > quarantineTTL {
-			t.release(part, t.fleet.inCharge(part))
+			t.release(part, t.fleet.inCharge(part), ReleasedByAge)
 		}
 	}
 }
--- a/internal/core/quarantine/quarantine.go
+++ b/internal/core/quarantine/quarantine.go
@@ -91,6 +91,8 @@
 type Change struct {
 	Part     PartID
 	Released bool
+	// Reason is why the part was released.
+	Reason ReleaseReason
 	// Decided is true if this instance decided on the change, and false if it follows
 	// others.
 	Decided  bool
@@ -98,6 +100,20 @@
 	Requests float64
 }
 
+// A ReleaseReason is why a part was released.
+type ReleaseReason string
+
+// The reasons.
+const (
+	// ReleasedByAnswer is an answer to a request with the part, at this instance or another.
+	ReleasedByAnswer   ReleaseReason = "answered here"
+	ReleasedByPeer     ReleaseReason = "answered or released elsewhere"
+	ReleasedByOperator ReleaseReason = "operator"
+	ReleasedByAge      ReleaseReason = "expired"
+	// ReleasedForRoom is the removal of the oldest part, since there are too many.
+	ReleasedForRoom ReleaseReason = "too many parts"
+)
+
 const (
 	// minLives and minRequests are the numbers of lives and of requests from which
 	// a part is quarantined. Several requests are needed because one request, sent
@@ -131,13 +147,12 @@
 	maxQuarantined = 256
 )
 
-// Check returns how to treat a request with the parts. A request with a quarantined
-// part may be sent as a trial if this instance is in charge of the part.
-func (t *Table) Check(now time.Time, parts []PartID) Decision {
+// Check returns how to treat a request with the parts, and the part that decides. A request
+// with a quarantined part may be sent as a trial if this instance is in charge of the part.
+func (t *Table) Check(now time.Time, parts []PartID) (decision Decision, decisive PartID) {
 	if !t.HasEvidence() {
-		return Allowed
+		return Allowed, ""
 	}
-	decision := Allowed
 	for _, part := range parts {
 		s := t.quarantined[part]
 		if s == nil && t.fleet.isQuarantined(part) && !t.isAnswered(now, part) {
@@ -145,14 +160,14 @@
 		}
 		switch {
 		case s != nil && t.startTrial(now, part, s):
-			decision = max(decision, Suspect)
+			decision, decisive = Suspect, part
 		case s != nil:
-			return Refused
+			return Refused, part
 		case t.lives(part) >= suspectLives && !t.isAnswered(now, part):
-			decision = max(decision, Suspect)
+			decision, decisive = Suspect, part
 		}
 	}
-	return decision
+	return decision, decisive
 }
 
 // RecordLoss records a call that was lost before its answer got past its beginning.
@@ -300,10 +315,10 @@
 
 // release takes a part out of quarantine. The instance that saw an answer to it, or else
 // the one in charge of it, decides.
-func (t *Table) release(part PartID, decided bool) {
+func (t *Table) release(part PartID, decided bool, reason ReleaseReason) {
 	delete(t.quarantined, part)
 	t.tallies = nil
-	t.changes = append(t.changes, Change{Part: part, Released: true, Decided: decided})
+	t.changes = append(t.changes, Change{Part: part, Released: true, Reason: reason, Decided: decided})
 }
 
 // startTrial reports whether a request with a quarantined part may be sent now.
@@ -324,7 +339,7 @@
 			oldest = part
 		}
 	}
-	t.release(oldest, false)
+	t.release(oldest, false, ReleasedForRoom)
 }
 
 // lives returns the number of lives of upstreams, over the fleet, on which requests with
--- a/internal/core/quarantine/quarantine_test.go
+++ b/internal/core/quarantine/quarantine_test.go
@@ -64,11 +64,17 @@
 	f.share(at)
 }
 
+// decision returns an instance's decision on a request with the parts.
+func (f *fleet) decision(at time.Time, instance int, parts ...PartID) Decision {
+	decision, _ := f.tables[instance].Check(at, parts)
+	return decision
+}
+
 // decisions returns the instances' decisions on a request with the parts.
 func (f *fleet) decisions(at time.Time, parts ...PartID) []Decision {
 	var all []Decision
 	for i := range f.tables {
-		all = append(all, f.tables[i].Check(at, parts))
+		all = append(all, f.decision(at, i, parts...))
 	}
 	return all
 }
@@ -249,7 +255,7 @@
 	is.Equal(f.share(now), []Change{{Part: "bad", Decided: true, Lives: 3, Requests: 3}})
 	is.Equal(len(f.share(now)), 0)
 	f.tables[0].RecordAnswer(now, "life", now, []PartID{"bad"})
-	is.Equal(f.share(now), []Change{{Part: "bad", Released: true, Decided: true}})
+	is.Equal(f.share(now), []Change{{Part: "bad", Released: true, Reason: ReleasedByAnswer, Decided: true}})
 }
 
 // TestMemoryIsBounded guards against callers whose prompts never share a part.
@@ -288,11 +294,11 @@
 			answering := rapid.IntRange(0, len(f.tables)-1).Draw(t, "answers")
 			f.tables[answering].RecordAnswer(at, Life("answer"+id), at, []PartID{"common"})
 			f.answer(at, answering, 10)
-			if f.tables[i].Check(at, []PartID{"common", "bad"}) != Refused {
+			if f.decision(at, i, "common", "bad") != Refused {
 				crashes++
 				f.tables[i].RecordLoss(at, Life(id), id, []PartID{"common", "bad"})
 			}
-			if f.tables[i].Check(at, []PartID{"common"}) == Refused {
+			if f.decision(at, i, "common") == Refused {
 				t.Fatal("a part that is answered all the time is refused")
 			}
 			f.share(at)
@@ -333,7 +339,7 @@
 	table, id := &s.fleet.tables[s.random.IntN(len(s.fleet.tables))], strconv.Itoa(s.requests)
 	prompt := []PartID{"common", PartID(strconv.Itoa(s.random.IntN(parts)))}
 	for attempt := range attempts {
-		decision := table.Check(at, prompt)
+		decision, _ := table.Check(at, prompt)
 		if decision == Refused && attempt == 0 {
 			s.refused++
 		}
--- a/internal/edge/ingress/outcomes.go
+++ b/internal/edge/ingress/outcomes.go
@@ -79,6 +79,9 @@
 	if err != nil {
 		summary += " (" + err.Error() + ")"
 	}
+	if result == dispatch.Broken {
+		summary += " " + string(x.contentPart())
+	}
 	x.callSummaries = append(x.callSummaries, summary)
 }
 
--- a/internal/instance/entry/tasks.go
+++ b/internal/instance/entry/tasks.go
@@ -193,7 +193,7 @@
 		if change.Released {
 			event = events.PartReleased
 		}
-		event.Log(i.log, zap.String("part", string(change.Part)),
+		event.Log(i.log, zap.String("part", string(change.Part)), zap.String("reason", string(change.Reason)),
 			zap.Float64("lost_requests", change.Requests), zap.Float64("upstream_lives", change.Lives))
 	}
 }
--- a/internal/telemetry/events/events.go
+++ b/internal/telemetry/events/events.go
@@ -81,10 +81,10 @@
 	VersionWithdrawn = Event{501, zap.WarnLevel, "version was withdrawn", "Look at the reason; roll out a corrected version under a new pool name."}
 )
 
-// Events of prompt parts that crash upstreams.
+// Events of prompt parts and requests that crash upstreams.
 var (
-	PartQuarantined = Event{510, zap.WarnLevel, "prompt part was quarantined", "Find the part in the field parts of failed requests, or for request-... the failed requests before it, and what their upstreams logged; requests with it are refused."}
-	PartReleased    = Event{511, zap.InfoLevel, "prompt part was released", "None."}
+	PartQuarantined = Event{510, zap.WarnLevel, "prompt part or request was quarantined", "Find the part in the fields parts or calls of failed requests before it, and what their upstreams logged; requests with it are refused, with the part as detail."}
+	PartReleased    = Event{511, zap.InfoLevel, "prompt part or request was released", "None."}
 	PartNotStored   = Event{512, zap.WarnLevel, "quarantine could not be read from the store or written to it", "Check the platform; the instances keep the quarantine in memory, and forget it if all of them die."}
 )
 
