Reproduce a repeated request that other callers' answers clear

The content of a request leaves out the caller; a plain lookup has no body, so other teams' lookups of one target have the same content. Change: a test of the front door: one team's request ends each upstream that runs it, another team's is answered.

--- a/internal/edge/ingress/ingress_test.go
+++ b/internal/edge/ingress/ingress_test.go
@@ -75,7 +75,7 @@
 			{Name: "open", Host: "h", PathPrefix: "/open/", Kind: catalog.Safe, Timeout: time.Minute, Split: split, MaxAttempts: 1, Public: true},
 		},
 		Services: []catalog.Service{{Name: "s"}},
-		Teams:    []catalog.Team{{Name: "team", Credentials: []string{"key"}}},
+		Teams:    []catalog.Team{{Name: "team", Credentials: []string{"key"}}, {Name: "other", Credentials: []string{"other key"}}},
 		Limits:   catalog.Limits{HeaderBytes: 4096, BodyBytes: 1024},
 	})
 	var entries []catalog.Upstream
@@ -127,6 +127,14 @@
 	return response, string(body), err
 }
 
+// getAs sends a request with a credential.
+func (ti *testIngress) getAs(t *testing.T, credential, path string) (*http.Response, string, error) {
+	t.Helper()
+	request := ti.request(t, http.MethodGet, path, "")
+	request.Header.Set("X-Credential", credential)
+	return ti.do(t, request)
+}
+
 func (ti *testIngress) get(t *testing.T, path string) (*http.Response, string, error) {
 	t.Helper()
 	return ti.do(t, ti.request(t, http.MethodGet, path, ""))
--- /dev/null
+++ b/internal/edge/ingress/quarantine_test.go
@@ -0,0 +1,46 @@
+package ingress
+
+import (
+	"net/http"
+	"sync/atomic"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// TestOtherCallersAnswersClearARepeatedRequest guards against a request that ends upstream
+// after upstream because callers of another team are answered the same one, and against
+// these callers being refused for it.
+func TestOtherCallersAnswersClearARepeatedRequest(t *testing.T) {
+	is := is.New(t)
+	var ended atomic.Int64
+	upstreams := make([]http.HandlerFunc, 8)
+	for n := range upstreams {
+		var down atomic.Bool
+		upstreams[n] = func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("X-Attempt-Id", r.Header.Get("X-Attempt-Id"))
+			switch {
+			case down.Load():
+				w.Header().Set("X-Not-Executed", "1")
+				w.WriteHeader(http.StatusServiceUnavailable)
+			case r.Header.Get("X-Tenant") == "team":
+				down.Store(true)
+				ended.Add(1)
+				panic(http.ErrAbortHandler)
+			}
+		}
+	}
+	ti := newTestIngress(t, upstreams...)
+	served := 0
+	for range 6 {
+		_, _, err := ti.getAs(t, "key", "/safe/x")
+		is.NoErr(err)
+		response, _, err := ti.getAs(t, "other key", "/safe/x")
+		is.NoErr(err)
+		if response.StatusCode == http.StatusOK {
+			served++
+		}
+	}
+	is.Equal(ended.Load(), int64(3))
+	is.Equal(served, 6)
+}
