Tell the requests of different teams with one content apart

Callers lost a plain service again and again: a repeated request went on ending upstreams as long as another team was answered the same lookup. Cause: the team was not part of what identifies a request. Class of fault: an identity that is too coarse, so that others' acquittals and verdicts count. The verdict was wrong too: sound lookups of other teams were refused with it. Change: the team is part of the content. The credential is not, since teams rotate them. A request of a public route has no team, there all callers are one.

--- a/internal/edge/ingress/calls.go
+++ b/internal/edge/ingress/calls.go
@@ -89,15 +89,13 @@
 func (x *exchange) send(ctx context.Context, call *dispatch.Call, onConnected func()) (*forward.Response, error) {
 	overrides := platform.HeaderOverrides{
 		Upstream:    call.Upstream.ID,
+		Team:        x.teamName(),
 		Timeout:     time.Until(x.task.Request.Deadline),
 		Model:       call.Model,
 		LastEventID: x.lastEventID,
 		Urgency:     call.Urgency,
 		CacheSource: call.CacheSource,
 	}
-	if x.team != nil {
-		overrides.Team = x.team.Name
-	}
 	return x.server.UpstreamClient.Send(ctx, forward.Request{
 		Address: call.Upstream.Address,
 		Method:  x.request.Method,
@@ -307,10 +305,12 @@
 	return ids
 }
 
-// hashContent returns the part that stands for all requests with the content of this one,
-// whatever their IDs, deadlines, sessions and credentials are.
+// hashContent returns the part that stands for all requests of the team with the content of
+// this one, whatever their IDs, deadlines and sessions are, and whichever credential the team
+// uses.
 func (x *exchange) hashContent() quarantine.PartID {
 	content := []string{
+		string(x.teamName()),
 		x.request.Method, x.request.Host, x.request.RequestURI, string(x.body), string(x.metadata.Model),
 		strconv.FormatInt(int64(x.metadata.PromptTokens), 10), strconv.FormatInt(int64(x.metadata.AnswerTokens), 10),
 	}
@@ -320,6 +320,14 @@
 	return quarantine.NewRequestPart(content...)
 }
 
+// teamName returns the name of the team, empty for a request that needs no credential.
+func (x *exchange) teamName() tables.TeamID {
+	if x.team == nil {
+		return ""
+	}
+	return x.team.Name
+}
+
 // maxPartIDs bounds the prompt parts of a request that can be quarantined.
 const maxPartIDs = 32
 
--- a/internal/edge/ingress/ingress.go
+++ b/internal/edge/ingress/ingress.go
@@ -340,10 +340,7 @@
 // routeKey returns the key of the request in the metrics. Its fields are empty
 // while the team or the route is not known.
 func (x *exchange) routeKey() tables.RouteKey {
-	key := tables.RouteKey{}
-	if x.team != nil {
-		key.Team = x.team.Name
-	}
+	key := tables.RouteKey{Team: x.teamName()}
 	if x.route != nil {
 		key.Class = x.route.Class()
 		key.Service = x.route.Split[0].Service
