--- a/internal/instance/service/limits_test.go
+++ b/internal/instance/service/limits_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -10,24 +9,6 @@
 	"golang.org/x/sync/errgroup"
 )
 
-// A limitedServer is an upstream that may name a limit on its calls. It does not reject those
-// beyond it.
-type limitedServer struct {
-	http.Handler
-	limit    atomic.Pointer[string]
-	arrivals atomic.Int64
-}
-
-func (s *limitedServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if r.URL.Path != "/v1/load" {
-		s.arrivals.Add(1)
-	}
-	if limit := s.limit.Load(); limit != nil {
-		w.Header().Set("X-Load-Limit", *limit)
-	}
-	s.Handler.ServeHTTP(w, r)
-}
-
 // TestUpstreamGetsMoreThanItsNamedLimit guards against instances that together send an
 // upstream more than the limit that it has named to them, and against requests that are held
 // or not answered where no other upstream is left.
@@ -42,7 +23,7 @@
 	limit := "2"
 	// play sends requests to all instances for the window, once the limit is known, and
 	// returns the number of calls and of each status.
-	play := func(t *testing.T, server *limitedServer, send func(index int) int) (int64, map[int]int) {
+	play := func(t *testing.T, server *testUpstream, send func(index int) int) (int64, map[int]int) {
 		t.Helper()
 		server.limit.Store(&limit)
 		ticker := time.NewTicker(interval)
--- a/internal/instance/service/links_test.go
+++ b/internal/instance/service/links_test.go
@@ -36,8 +36,8 @@
 	// desk is the address of the plain service.
 	desk string
 	// engines and deskServer are the upstreams.
-	engines    []*limitedServer
-	deskServer *limitedServer
+	engines    []*testUpstream
+	deskServer *testUpstream
 }
 
 // A testInstance is an instance whose links to the upstreams can be cut.
@@ -68,12 +68,12 @@
 	f := &testFleet{t: t, platform: "http://" + startServer(t, (&platform.Server{}).Handler())}
 	pool := tables.Pool{Name: "small", Service: "llm", Kind: tables.KindModel, Model: "small", Version: "v1", PromptCost: 1, AnswerCost: 1, Concurrency: 64}
 	for n := range 3 {
-		server := &limitedServer{Handler: (&engine.Server{Model: "small", Version: "v1", Quality: 1, Slots: 64, FirstTokenDelay: time.Millisecond, TokenInterval: 5 * time.Millisecond}).Handler()}
+		server := &testUpstream{Handler: (&engine.Server{Model: "small", Version: "v1", Quality: 1, Slots: 64, FirstTokenDelay: time.Millisecond, TokenInterval: 5 * time.Millisecond}).Handler()}
 		f.engines = append(f.engines, server)
 		address := startServer(t, server)
 		pool.Upstreams = append(pool.Upstreams, tables.Upstream{Name: tables.UpstreamID(fmt.Sprintf("small-%d", n)), Address: address, DataCenter: "dc-0"})
 	}
-	f.deskServer = &limitedServer{Handler: (&plainservice.Server{}).Handler()}
+	f.deskServer = &testUpstream{Handler: (&plainservice.Server{}).Handler()}
 	f.desk = startServer(t, f.deskServer)
 	desk := tables.Pool{
 		Name: "desk", Service: "orders", Kind: tables.KindPlain, CallCost: 1, Concurrency: 64,
--- /dev/null
+++ b/internal/instance/service/upstreams_test.go
@@ -0,0 +1,46 @@
+package service
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"sync/atomic"
+	"time"
+)
+
+// A testUpstream is an upstream that may name a limit on its calls, and that ends when it
+// runs a request with a certain text. It does not reject calls beyond its limit.
+type testUpstream struct {
+	http.Handler
+	limit    atomic.Pointer[string]
+	arrivals atomic.Int64
+	// crashes counts the requests that ended the upstream, and backAt is when it has
+	// started again, in Unix nanoseconds.
+	crashes, backAt atomic.Int64
+}
+
+const (
+	// crashingText is the text of a request that ends the upstreams that run it.
+	crashingText = "crash"
+	restartTime  = 200 * time.Millisecond
+)
+
+func (s *testUpstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != "/v1/load" {
+		s.arrivals.Add(1)
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil || time.Now().UnixNano() < s.backAt.Load() {
+		panic(http.ErrAbortHandler)
+	}
+	if bytes.Contains(body, []byte(crashingText)) {
+		s.crashes.Add(1)
+		s.backAt.Store(time.Now().Add(restartTime).UnixNano())
+		panic(http.ErrAbortHandler)
+	}
+	r.Body = io.NopCloser(bytes.NewReader(body))
+	if limit := s.limit.Load(); limit != nil {
+		w.Header().Set("X-Load-Limit", *limit)
+	}
+	s.Handler.ServeHTTP(w, r)
+}
