Quarantine repeated requests at the product's own interface

Callers of models and plain services at the product's own interface lost upstream after upstream to one request that its caller repeated; sound requests beside it failed. Cause: this front door had no quarantine, its calls left no evidence. Class of fault: a defence at one of two front doors. Change: the router keeps the same quarantine table; a request is its team, method, target and body. A call whose connection broke before the answer got past its beginning is evidence, unless the own link is lost; an answer acquits. The tables do not tell lives of an upstream apart, so a life ends with a lost call. Not stored: a fleet that dies forgets.

--- a/internal/backend/upstreams/upstreams.go
+++ b/internal/backend/upstreams/upstreams.go
@@ -176,6 +176,7 @@
 		kind = faults.Canceled
 	}
 	fault := faults.New(kind, err.Error())
+	fault.ConnectionLost = kind == faults.UpstreamFailed && a.connected.Load()
 	if !a.connected.Load() {
 		fault.Run = faults.RunNo
 	}
--- a/internal/core/faults/faults.go
+++ b/internal/core/faults/faults.go
@@ -31,6 +31,9 @@
 	// RetryAfter is how long the caller should wait before a retry. Zero means
 	// that the response has no such time.
 	RetryAfter time.Duration
+	// ConnectionLost is true if the connection on which an upstream got the request broke
+	// before the end of its answer.
+	ConnectionLost bool
 	// Detail adds to the kind's message. It may be empty.
 	Detail string
 }
--- a/internal/core/router/limits.go
+++ b/internal/core/router/limits.go
@@ -32,6 +32,7 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	r.fleet.SetPosition(now, position, count)
+	r.quarantine.SetFleetPosition(position, count)
 }
 
 // contributeLimits adds what the upstreams have said lately of their limits to this
--- a/internal/core/router/outcome.go
+++ b/internal/core/router/outcome.go
@@ -14,6 +14,10 @@
 	Failed bool
 	// Aborted is true if the router or the caller cancelled the call.
 	Aborted bool
+	// Answered is true if the answer got past its beginning, ConnectionLost if its
+	// connection was lost before.
+	Answered       bool
+	ConnectionLost bool
 	// PromptTokens and AnswerTokens are the tokens that the call used.
 	PromptTokens tables.Tokens
 	AnswerTokens tables.Tokens
@@ -114,6 +118,7 @@
 		serviceTime = now.Sub(step.firstTokenAt)
 	}
 	step.upstreams.RecordFinish(now, step.Choice, serviceTime)
+	r.recordForQuarantine(now, task, step, outcome)
 	task.usedTokens += outcome.PromptTokens + outcome.AnswerTokens
 	if !outcome.Failed {
 		// Teams do not pay for failed calls.
--- a/internal/core/router/router.go
+++ b/internal/core/router/router.go
@@ -13,6 +13,7 @@
 	"mimosayard/internal/core/allowances"
 	"mimosayard/internal/core/cascades"
 	"mimosayard/internal/core/pacing"
+	"mimosayard/internal/core/quarantine"
 	"mimosayard/internal/core/rollouts"
 	"mimosayard/internal/core/routing"
 	"mimosayard/internal/core/tables"
@@ -58,6 +59,12 @@
 	ratingRefs pendingRatings
 	retries    retryBudget
 	fleet      pacing.Fleet
+	quarantine quarantine.Table
+	// quarantineChanges are the changes that QuarantineChanges has not returned yet.
+	quarantineChanges []quarantine.Change
+	// instance tells the lives of upstreams that this instance has seen apart from those
+	// that others have.
+	instance tables.InstanceID
 	// limitChanges are the changes that LimitChanges has not returned yet.
 	limitChanges pacing.Changes
 	// leaving holds the upstreams that are leaving according to the platform's
--- a/internal/core/router/task.go
+++ b/internal/core/router/task.go
@@ -5,6 +5,7 @@
 
 	"mimosayard/internal/core/cascades"
 	"mimosayard/internal/core/faults"
+	"mimosayard/internal/core/quarantine"
 	"mimosayard/internal/core/rollouts"
 	"mimosayard/internal/core/routing"
 	"mimosayard/internal/core/tables"
@@ -29,6 +30,9 @@
 	MaxAnswerTokens tables.Tokens
 	// PrefixHash is the hash of the first block of the prompt, zero for none.
 	PrefixHash uint64
+	// ContentPart returns the part that stands for the request and its repetitions. It is
+	// called only while upstreams are lost. It may be nil.
+	ContentPart func() quarantine.PartID
 	// ArrivedAt is when the request arrived. Its deadline counts from then.
 	ArrivedAt time.Time
 }
@@ -75,6 +79,9 @@
 	escalatedFrom cascades.Bucket
 	escalated     bool
 	ended         bool
+	// losses is the number of calls whose connection was lost before the answer got past
+	// its beginning.
+	losses int
 }
 
 const (
@@ -128,6 +135,9 @@
 	if fault := r.repinStage(task); fault != nil {
 		return nil, fault
 	}
+	if fault := r.quarantineFault(now, task); fault != nil {
+		return nil, fault
+	}
 	state := r.poolStates[task.Pools[task.stage]]
 	call := r.routingCall(task, state, avoid)
 	choice, ok := state.upstreams.Choose(now, call, r.random)
--- a/internal/core/router/tick.go
+++ b/internal/core/router/tick.go
@@ -35,6 +35,7 @@
 		load.write(now, values)
 	}
 	r.contributeLimits(now, values)
+	r.quarantine.Contribution(now, func(key aggregates.Key, value float64) { putSignificant(values, key, value) })
 	return values
 }
 
@@ -46,6 +47,7 @@
 	defer r.mutex.Unlock()
 	r.fleetTotals, r.ownReported = fleetTotals, ownReported
 	r.applyLimits(now, fleetTotals, ownReported)
+	r.quarantineChanges = append(r.quarantineChanges, r.quarantine.ApplyTotals(now, fleetTotals, ownReported)...)
 	if r.index == nil {
 		return nil
 	}
--- a/internal/core/routing/upstream.go
+++ b/internal/core/routing/upstream.go
@@ -40,6 +40,10 @@
 	// came, as of latenessUpdatedAt.
 	lateSeconds       float64
 	latenessUpdatedAt time.Time
+	// lives counts the losses of calls that were sent after the one before, lostAt is when
+	// a call was last lost.
+	lives  int
+	lostAt time.Time
 	// consecutiveFailures is the number of failures since the last first token.
 	// The upstream gets no calls until cooldownUntil.
 	consecutiveFailures int
@@ -79,6 +83,16 @@
 	return u.report.Running
 }
 
+// RecordLoss records that a call was lost, and returns the number of the upstream's life on
+// which it was. Calls that ran when one was lost are lost on the same life.
+func (u *Upstream) RecordLoss(now, sentAt time.Time) int {
+	if u.lostAt.IsZero() || sentAt.After(u.lostAt) {
+		u.lives++
+		u.lostAt = now
+	}
+	return u.lives
+}
+
 // recordFailure counts a failure and starts a cooldown with exponential backoff
 // and jitter.
 func (u *Upstream) recordFailure(now time.Time, random *rand.Rand) {
--- a/internal/edge/callers/attempts.go
+++ b/internal/edge/callers/attempts.go
@@ -1,9 +1,13 @@
 package callers
 
 import (
+	"sync"
 	"time"
 
 	"mimosayard/internal/core/faults"
+	"mimosayard/internal/core/quarantine"
+	"mimosayard/internal/core/router"
+	"mimosayard/internal/core/tables"
 )
 
 // attemptHistory records the outcomes of the calls made for one request, so
@@ -39,6 +43,32 @@
 	return fault.Run == faults.RunNo || x.server.Router.AllowRetry(time.Now())
 }
 
+// startStep starts the next step of the request.
+func (x *exchange) startStep(task *router.Task, avoid tables.UpstreamID) (*router.Step, *faults.Error) {
+	if x.server.Router.SuspectsRequests() {
+		// The router asks for it under its lock.
+		task.Request.ContentPart()
+	}
+	return x.server.Router.StartStep(time.Now(), task, avoid)
+}
+
+// finishStep records the outcome of a step. Err is its error, nil if there was none.
+func (x *exchange) finishStep(task *router.Task, step *router.Step, outcome router.Outcome, err error) {
+	outcome.ConnectionLost = outcome.Failed && !outcome.Answered && faults.FromError(err).ConnectionLost
+	if outcome.ConnectionLost {
+		task.Request.ContentPart()
+	}
+	x.server.Router.FinishStep(time.Now(), task, step, outcome)
+}
+
+// contentPart returns a function that returns the part that stands for all requests of the
+// team with the method, target and body of this one. It hashes them once.
+func (x *exchange) contentPart(body []byte) func() quarantine.PartID {
+	return sync.OnceValue(func() quarantine.PartID {
+		return quarantine.NewRequestPart(string(x.team), x.request.Method, x.request.RequestURI, string(body))
+	})
+}
+
 // isUpstreamFailure reports whether a failed call shows a failure of the upstream. A call
 // that a caller canceled does not, nor one that was lost with this instance's own link.
 func (x *exchange) isUpstreamFailure(address string, fault *faults.Error) bool {
--- a/internal/edge/callers/chat.go
+++ b/internal/edge/callers/chat.go
@@ -85,6 +85,7 @@
 	if err != nil {
 		return err
 	}
+	request.ContentPart = x.contentPart(data)
 	task, fault := x.server.Router.Admit(x.arrivedAt, request)
 	if fault != nil {
 		return fault
@@ -202,7 +203,7 @@
 	var failedUpstream tables.UpstreamID
 	var history attemptHistory
 	for attempt := 1; ; {
-		step, fault := x.server.Router.StartStep(time.Now(), c.task, failedUpstream)
+		step, fault := x.startStep(c.task, failedUpstream)
 		if fault != nil {
 			return history.refusal(fault)
 		}
@@ -258,7 +259,7 @@
 		// The answer ended before ConfidenceTokens tokens.
 		err = c.acceptOrEscalate()
 	}
-	x.server.Router.FinishStep(time.Now(), c.task, step, c.stepOutcome(usage, err))
+	x.finishStep(c.task, step, c.stepOutcome(usage, err), err)
 	x.cost = c.task.Cost
 	return usage, err
 }
@@ -273,6 +274,8 @@
 		outcome.PromptTokens = c.task.Request.PromptTokens
 		outcome.AnswerTokens = tables.Tokens(c.contentEvents)
 	}
+	// The second event shows that the engine has got past the beginning.
+	outcome.Answered = err == nil || c.contentEvents > 1
 	if err == nil {
 		return outcome
 	}
--- a/internal/edge/callers/plain.go
+++ b/internal/edge/callers/plain.go
@@ -72,6 +72,8 @@
 		Caller:    x.request.Header.Get(headerCaller),
 		RequestID: x.requestID,
 		ArrivedAt: x.arrivedAt,
+
+		ContentPart: x.contentPart(body),
 	})
 	if fault != nil {
 		return fault
@@ -109,21 +111,21 @@
 	var failedUpstream tables.UpstreamID
 	var history attemptHistory
 	for attempt := 1; ; attempt++ {
-		step, fault := x.server.Router.StartStep(time.Now(), task, failedUpstream)
+		step, fault := x.startStep(task, failedUpstream)
 		if fault != nil {
 			return upstreams.PlainResponse{}, history.refusal(fault)
 		}
 		call.Address = step.Choice.Upstream.Config.Address
 		call.OnLimit = x.limitRecorder(step)
 		answer, err := x.server.UpstreamClient.CallPlain(ctx, call)
-		outcome := router.Outcome{Failed: err != nil}
+		outcome := router.Outcome{Failed: err != nil, Answered: err == nil}
 		if err != nil {
 			outcome.Failed = x.isUpstreamFailure(call.Address, faults.FromError(err))
 			outcome.Aborted = !outcome.Failed
 		} else {
 			x.server.Router.RecordFirstToken(time.Now(), step)
 		}
-		x.server.Router.FinishStep(time.Now(), task, step, outcome)
+		x.finishStep(task, step, outcome, err)
 		if err == nil {
 			return answer, nil
 		}
--- a/internal/instance/entry/tasks.go
+++ b/internal/instance/entry/tasks.go
@@ -189,12 +189,7 @@
 				// The fleet keeps the part in memory.
 			}
 		}
-		event := events.PartQuarantined
-		if change.Released {
-			event = events.PartReleased
-		}
-		event.Log(i.log, zap.String("part", string(change.Part)), zap.String("reason", string(change.Reason)),
-			zap.Float64("lost_requests", change.Requests), zap.Float64("upstream_lives", change.Lives))
+		events.LogQuarantine(i.log, change)
 	}
 }
 
--- a/internal/instance/service/service.go
+++ b/internal/instance/service/service.go
@@ -24,6 +24,7 @@
 	"mimosayard/internal/core/faults"
 	"mimosayard/internal/core/links"
 	"mimosayard/internal/core/membership"
+	"mimosayard/internal/core/quarantine"
 	"mimosayard/internal/core/router"
 	"mimosayard/internal/core/sessions"
 	"mimosayard/internal/edge/callers"
@@ -108,6 +109,7 @@
 	}
 	random := rand.New(rand.NewPCG(rand.Uint64(), uint64(startedAt.UnixNano())))
 	i.router = router.New(s.DataCenter, router.Policy{}, random)
+	i.router.SetInstance(s.Instance)
 	i.config.init(i)
 	i.node = i.newNode()
 	i.dialer = uplinks.NewDialer(uplinks.Options{
@@ -294,7 +296,13 @@
 }
 
 func (i *Instance) newOperatorsServer() *operators.Server {
-	return &operators.Server{Metrics: i.metrics.Handler(), CheckReady: i.checkReady, Status: i.status}
+	return &operators.Server{
+		Metrics: i.metrics.Handler(), CheckReady: i.checkReady, Status: i.status,
+		Quarantine: func() any { return i.router.Quarantine() },
+		Release: func(name string) bool {
+			return i.router.ReleaseQuarantined(time.Now(), quarantine.PartID(name))
+		},
+	}
 }
 
 // hasUpstream reports whether an upstream of the configuration in force has the address.
--- a/internal/instance/service/tasks.go
+++ b/internal/instance/service/tasks.go
@@ -188,6 +188,9 @@
 		i.node.CallParentNow()
 	}
 	events.LogLimits(i.log, i.router.LimitChanges())
+	for _, change := range i.router.QuarantineChanges() {
+		events.LogQuarantine(i.log, change)
+	}
 	open, held := i.bills.Counts()
 	i.metrics.SetGauge("bills_open", float64(open))
 	i.metrics.SetGauge("bills_held", float64(held))
