Blame requests whose callers left for the end of their upstream

A request that ends upstreams was never found if its caller left before the connection broke: the call ended as the caller's, and was no evidence. Change: calls that ended before their answer started are kept for a second. If another call of the instance shows meanwhile that the upstream has ended, by a broken connection or a refused one, they were lost with it; an answer to a later call shows that it outlived them. Not while the own link is lost. Conclusion: found at the shared platform's door; the product's own does not know yet why a caller's call ended.

--- a/internal/core/dispatch/dispatch.go
+++ b/internal/core/dispatch/dispatch.go
@@ -49,6 +49,9 @@
 	// totals are the fleet's sums as of the last ApplyTotals.
 	totals     aggregates.Values
 	quarantine quarantine.Table
+	// unresolved are the calls of which it is not known whether their upstreams outlived
+	// them.
+	unresolved map[*placement.Upstream]unresolvedCalls
 	// quarantineChanges are the changes that QuarantineChanges has not returned yet.
 	quarantineChanges []quarantine.Change
 }
@@ -248,6 +251,7 @@
 		s.upstreams = append(s.upstreams, u)
 	}
 	for _, u := range known {
+		delete(d.unresolved, u)
 		u.Ready = false
 		u.SetEntry(now, u.Upstream)
 		if u.Draining(now) {
--- a/internal/core/dispatch/task.go
+++ b/internal/core/dispatch/task.go
@@ -267,6 +267,11 @@
 	call.reservation.MarkSent(now)
 }
 
+// Started reports whether the answer has started.
+func (c *Call) Started() bool {
+	return c.started
+}
+
 // Through returns the peer that carries the connection, empty for a direct one.
 func (c *Call) Through() tables.InstanceID {
 	return c.through
@@ -424,11 +429,15 @@
 		if d.quarantine.HasEvidence() {
 			parts = task.suspectParts()
 		}
+		d.outliveCalls(call)
 		if len(parts) > 0 {
 			d.quarantine.RecordAnswer(now, life, call.sentAt, parts)
 		}
+	case result == Abandoned && !call.started:
+		d.addUnresolved(now, task, call)
 	case result == Broken:
 		task.losses++
+		d.resolveCalls(now, call.upstream)
 		if parts := task.suspectParts(); len(parts) > 0 {
 			d.quarantine.RecordLoss(now, life, task.Request.ID, parts)
 		}
--- a/internal/edge/ingress/calls.go
+++ b/internal/edge/ingress/calls.go
@@ -49,7 +49,7 @@
 	defer cancel(nil)
 	result := dispatch.Abandoned
 	defer func() {
-		if result == dispatch.Broken {
+		if result == dispatch.Broken || result == dispatch.Abandoned && !call.Started() {
 			// The dispatcher asks for it under its lock.
 			x.contentPart()
 		}
@@ -114,6 +114,9 @@
 // reads and relays the body. It reports the result for the dispatcher and
 // whether the request is done.
 func (x *exchange) receive(ctx context.Context, cancel context.CancelCauseFunc, call *dispatch.Call, response *forward.Response, sendErr error) (dispatch.Result, bool, error) {
+	if errors.Is(sendErr, syscall.ECONNREFUSED) {
+		x.server.Dispatcher.RecordConnectionRefused(time.Now(), call)
+	}
 	if sendErr != nil {
 		return x.classifyCallError(ctx, sendErr)
 	}
--- a/internal/edge/ingress/ingress_test.go
+++ b/internal/edge/ingress/ingress_test.go
@@ -37,6 +37,7 @@
 // testIngress is an ingress server in front of test upstreams. runs counts the
 // requests that reached an upstream.
 type testIngress struct {
+	upstreams []*httptest.Server
 	*httptest.Server
 	server *Server
 	runs   atomic.Int64
@@ -85,6 +86,7 @@
 			handler(w, r)
 		}))
 		t.Cleanup(server.CloseClientConnections)
+		ti.upstreams = append(ti.upstreams, server)
 		entries = append(entries, catalog.Upstream{
 			ID: tables.UpstreamID(fmt.Sprintf("u%d", i)), Service: "s", Version: "v1", Slots: 8, Ready: true,
 			Address: server.Listener.Addr().String(),
--- a/internal/edge/ingress/quarantine_test.go
+++ b/internal/edge/ingress/quarantine_test.go
@@ -1,11 +1,15 @@
 package ingress
 
 import (
+	"context"
+	"errors"
 	"net/http"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
+	"golang.org/x/sync/errgroup"
 )
 
 // TestOtherCallersAnswersClearARepeatedRequest guards against a request that ends upstream
@@ -44,3 +48,32 @@
 	is.Equal(ended.Load(), int64(3))
 	is.Equal(served, 6)
 }
+
+// TestCallerLeavesBeforeItsUpstreamEnds guards against an instance that does not connect the
+// end of an upstream with the request whose caller left just before.
+func TestCallerLeavesBeforeItsUpstreamEnds(t *testing.T) {
+	is := is.New(t)
+	running := make(chan struct{})
+	ti := newTestIngress(t, func(_ http.ResponseWriter, r *http.Request) {
+		close(running)
+		<-r.Context().Done()
+	})
+	ctx, leave := context.WithCancel(t.Context())
+	group := &errgroup.Group{}
+	group.Go(func() error {
+		_, _, err := ti.do(t, ti.request(t, http.MethodGet, "/safe/x", "").WithContext(ctx))
+		return err
+	})
+	<-running
+	leave()
+	is.True(errors.Is(group.Wait(), context.Canceled))
+	ticker := time.NewTicker(time.Millisecond)
+	defer ticker.Stop()
+	for ti.server.InFlight() > 0 {
+		<-ticker.C
+	}
+	ti.upstreams[0].Close()
+	response, _, err := ti.get(t, "/safe/another")
+	assertStatus(t, response, err, http.StatusServiceUnavailable)
+	is.True(ti.server.Dispatcher.SuspectsRequests())
+}
