--- a/internal/evaluation/processes/sharedplatform_test.go
+++ b/internal/evaluation/processes/sharedplatform_test.go
@@ -22,6 +22,8 @@
 	*fleet
 	// configVersion is the version of the configuration written last.
 	configVersion int
+	// program is the program of the instances that are started.
+	program string
 	// requestCount numbers the requests, for their IDs.
 	requestCount atomic.Int64
 }
@@ -32,13 +34,21 @@
 	validKey = "raft-key"
 	// revocableKey is valid until a test revokes it.
 	revocableKey = "desk-key"
+	// present is the program of the present code.
+	present = "mimosayard"
 )
 
 // newSharedFleet starts a store, two upstreams and a number of instances, and
 // waits until all serve. Only the first withStore instances can reach the store.
 func newSharedFleet(t *testing.T, instances, withStore int) *sharedFleet {
 	t.Helper()
-	f := &sharedFleet{fleet: &fleet{
+	return newSharedFleetOf(t, present, instances, withStore)
+}
+
+// newSharedFleetOf is newSharedFleet with the program of the instances.
+func newSharedFleetOf(t *testing.T, program string, instances, withStore int) *sharedFleet {
+	t.Helper()
+	f := &sharedFleet{program: program, fleet: &fleet{
 		t:         t,
 		subnet:    fmt.Sprintf("127.%d.%d", 64+os.Getpid()%128, nextSubnet.Add(1)),
 		directory: t.TempDir(),
@@ -82,7 +92,7 @@
 		Shared:           &settings.SharedPlatform{StoreAddress: storeAddress, ReadyAddress: f.address(index, 8083), StopGrace: 4},
 	}
 	file := f.writeJSON(string(s.Instance)+".json", s)
-	return &instance{f.startProgram("mimosayard", "serve", "-settings", file), s}
+	return &instance{f.startProgram(f.program, "serve", "-settings", file), s}
 }
 
 // putConfiguration writes a new version of the configuration with the API keys
