Take a limit from answers to the request only

At the product's own interface an answer of a plain service with 5xx may lack the request's ID, since something between may give it; without a limit in it, it lifted the upstream's. Change: the client reports a limit, or that there is none, only of answers that echo the request's ID; a comment in allowances says more plainly why the mean is taken. Measured: nine answers of the table, the last one lifted a limit before. Conclusion: only the upstream's own word counts.

--- a/internal/backend/upstreams/chat.go
+++ b/internal/backend/upstreams/chat.go
@@ -116,9 +116,7 @@
 		return Usage{}, c.classifyError(ctx, a, call.Address, err)
 	}
 	defer func() { _ = response.Body.Close() }()
-	if response.Header.Get(headerRequestID) == call.RequestID {
-		callbacks.OnLimit.report(response.Header)
-	}
+	callbacks.OnLimit.report(response.Header, call.RequestID)
 	if fault := checkResponse(response, call.RequestID); fault != nil {
 		return Usage{}, fault
 	}
--- a/internal/backend/upstreams/plain.go
+++ b/internal/backend/upstreams/plain.go
@@ -79,7 +79,7 @@
 	if response.Header.Get(headerRequestID) != call.RequestID && response.StatusCode < http.StatusInternalServerError {
 		return PlainResponse{}, faults.New(faults.AnswerMismatched, "")
 	}
-	call.OnLimit.report(response.Header)
+	call.OnLimit.report(response.Header, call.RequestID)
 	a.timer.Reset(c.progressTimeout())
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
 	if err != nil {
--- a/internal/backend/upstreams/upstreams.go
+++ b/internal/backend/upstreams/upstreams.go
@@ -96,13 +96,13 @@
 // false if it names none.
 type LimitFunc func(rate pacing.Rate, named bool)
 
-// report passes the limit in the header of an answer on. A limit that is no number, or
-// negative, is ignored.
-func (f LimitFunc) report(header http.Header) {
+// report passes the limit in the header of an answer to the request on. A limit that is no
+// number, or negative, is ignored.
+func (f LimitFunc) report(header http.Header, requestID string) {
 	text := header.Get(headerLoadLimit)
 	rate, err := strconv.ParseFloat(text, 64)
 	switch {
-	case f == nil:
+	case f == nil, header.Get(headerRequestID) != requestID:
 	case text == "":
 		f(0, false)
 	case err == nil && rate >= 0:
--- a/internal/backend/upstreams/upstreams_test.go
+++ b/internal/backend/upstreams/upstreams_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -12,6 +13,7 @@
 	"github.com/matryer/is"
 
 	"mimosayard/internal/core/faults"
+	"mimosayard/internal/core/pacing"
 )
 
 const (
@@ -141,3 +143,29 @@
 		}
 	})
 }
+
+// TestNamedLimits guards against limits that are misread, and against an answer without the
+// request's ID, which may not be the upstream's, that lifts one.
+func TestNamedLimits(t *testing.T) {
+	for _, c := range []struct {
+		name, id, text string
+		want           string
+	}{
+		{"a number", "r", "4.5", "4.5 true"},
+		{"none", "r", "", "0 false"},
+		{"zero", "r", "0", "0 true"},
+		{"beyond the bound", "r", "1e30", "1e+09 true"},
+		{"negative", "r", "-1", ""},
+		{"no number", "r", "NaN", ""},
+		{"text", "r", "many", ""},
+		{"another request", "other", "4.5", ""},
+		{"no ID and no limit", "", "", ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			got := ""
+			record := LimitFunc(func(rate pacing.Rate, named bool) { got = fmt.Sprint(float64(rate), named) })
+			record.report(http.Header{headerRequestID: {c.id}, headerLoadLimit: {c.text}}, "r")
+			is.New(t).Equal(got, c.want)
+		})
+	}
+}
--- a/internal/core/allowances/allowances.go
+++ b/internal/core/allowances/allowances.go
@@ -143,8 +143,8 @@
 func (l *Limiter) Admit(now time.Time, limits tables.Allowance, tokens float64) *faults.Error {
 	l.decay(now)
 	callDemand := Demand{RequestsPerSecond: 1 / demandTimeConstant.Seconds(), TokensPerSecond: tokens / demandTimeConstant.Seconds()}
-	// The estimate is highest right after a call. The mean of it before and after is that
-	// of any time, as which the other instances report it.
+	// The estimate peaks right after a call, and the other instances report theirs as of any
+	// time. The mean of before and after compares with those.
 	estimate := Demand{
 		RequestsPerSecond: l.local.RequestsPerSecond + callDemand.RequestsPerSecond/2,
 		TokensPerSecond:   l.local.TokensPerSecond + callDemand.TokensPerSecond/2,
