Serve callers by the old version where canaries are at their limits

The few upstreams of a new version that get its first share may name limits; their callers waited and were refused as overloaded, though the old version had room. Change: the first call of a request that no session pins to the new version goes to the old one while none of these upstreams has room. Conclusion: a limit slows a rollout, it refuses no caller.

--- a/internal/core/dispatch/limits_test.go
+++ b/internal/core/dispatch/limits_test.go
@@ -189,3 +189,25 @@
 	_, fault = d.NextCall(now.Add(wait), waits)
 	is.Equal(fault, nil)
 }
+
+// TestLimitedCanariesRefuseNoCaller guards against callers who are refused because the few
+// upstreams of a new version that get its first share name a limit, although the old ones have
+// room.
+func TestLimitedCanariesRefuseNoCaller(t *testing.T) {
+	is := is.New(t)
+	d := newDispatcher(append(newUpstreams("v1", 4), newUpstreams("v2", 4)...)...)
+	d.SetRollouts(now, []catalog.Rollout{{Service: "llm", Target: "v2", Duration: time.Minute}}, 0)
+	onTarget := 0
+	for n := range 400 {
+		task := mustAdmit(t, d, newRoute(catalog.Safe), strconv.Itoa(n))
+		task.Request.Session = ""
+		call := mustNextCall(t, d, task)
+		if call.Upstream.Version == "v2" {
+			onTarget++
+			d.RecordUpstreamState(now, call, UpstreamState{NamesLimit: true, MaxRate: 0.5})
+		}
+		d.StartAnswer(now, task, call, 100)
+		d.EndCall(now, task, call, Served)
+	}
+	is.True(onTarget > 0)
+}
--- a/internal/core/dispatch/versions.go
+++ b/internal/core/dispatch/versions.go
@@ -27,8 +27,9 @@
 	if useTarget && s.tracker.InCanaryStage() && len(task.tried) == 0 {
 		upstreams = canaryUpstreams(upstreams, rollout.Target, share)
 	}
-	if len(upstreams) == 0 && useTarget && s.tracker.InProgress() {
-		// The target has no upstreams yet.
+	mayUseBaseline := useTarget && s.tracker.InProgress()
+	if mayUseBaseline && (len(upstreams) == 0 || task.calls == 0 && !task.pinned && !anyHasRoom(now, upstreams)) {
+		// The target has no upstreams yet, or those that get its share are at their limits.
 		useTarget = false
 		upstreams = s.upstreamsByVersion(rollout.Target, false)
 	}
@@ -38,6 +39,11 @@
 	return baselineVersion, upstreams
 }
 
+// anyHasRoom reports whether one more call is within the limits of any of the upstreams.
+func anyHasRoom(now time.Time, upstreams []*placement.Upstream) bool {
+	return slices.ContainsFunc(upstreams, func(u *placement.Upstream) bool { return u.HasRoom(now) })
+}
+
 // baselineVersion stands for all versions other than the target of a rollout.
 const baselineVersion tables.VersionID = ""
 
