Start the callers of rolling tests by one piece

Cause: the test of an upgrade wrote the callers and the check of executions again. Change: startCallers and assertExecutions serve both tests; no check changes.

--- a/internal/evaluation/processes/rolling_test.go
+++ b/internal/evaluation/processes/rolling_test.go
@@ -96,6 +96,39 @@
 	return nil
 }
 
+// startCallers starts callers that send requests to each instance, and returns their outcomes
+// and a function that stops them and returns the first wrong answer.
+func (f *sharedFleet) startCallers(perInstance int) (results []*outcomes, stop func() error) {
+	done := make(chan struct{})
+	group := newGroup()
+	for n := range f.instances {
+		results = append(results, &outcomes{})
+		for range perInstance {
+			c := &persistentCaller{f, n, &http.Client{Transport: &http.Transport{}}, results[n]}
+			group.Go(func() error { return c.run(done) })
+		}
+	}
+	return results, func() error {
+		close(done)
+		return group.Wait()
+	}
+}
+
+// assertExecutions checks that answered requests have run once and the others have not.
+func (f *sharedFleet) assertExecutions(results []*outcomes) {
+	f.t.Helper()
+	is := is.New(f.t)
+	executions := f.executionCounts()
+	for _, o := range results {
+		for _, id := range o.answered {
+			is.Equal(executions[id], 1)
+		}
+		for _, id := range o.notRun {
+			is.Equal(executions[id], 0)
+		}
+	}
+}
+
 // completeEventStream returns the body of a complete answer of the streaming
 // route.
 func completeEventStream() string {
@@ -114,16 +147,7 @@
 	t.Parallel()
 	const instances, callersPerInstance = 3, 4
 	f := newSharedFleet(t, instances, instances)
-	results := make([]*outcomes, instances)
-	done := make(chan struct{})
-	group := newGroup()
-	for n := range instances {
-		results[n] = &outcomes{}
-		for range callersPerInstance {
-			c := &persistentCaller{f, n, &http.Client{Transport: &http.Transport{}}, results[n]}
-			group.Go(func() error { return c.run(done) })
-		}
-	}
+	results, stop := f.startCallers(callersPerInstance)
 	is := is.New(t)
 	for n := range instances {
 		servedBefore := results[n].served.Load()
@@ -133,17 +157,8 @@
 		servedBefore = results[n].served.Load()
 		f.await(fmt.Sprintf("router %d serves again", n), func() bool { return results[n].served.Load() > servedBefore+20 })
 	}
-	close(done)
-	is.NoErr(group.Wait())
-	executions := f.executionCounts()
-	for _, o := range results {
-		for _, id := range o.answered {
-			is.Equal(executions[id], 1)
-		}
-		for _, id := range o.notRun {
-			is.Equal(executions[id], 0)
-		}
-	}
+	is.NoErr(stop())
+	f.assertExecutions(results)
 }
 
 // TestRecoveryAfterAllInstancesAreKilled guards against a fleet that does not
--- a/internal/evaluation/processes/upgrade_test.go
+++ b/internal/evaluation/processes/upgrade_test.go
@@ -125,16 +125,7 @@
 	f.t.Helper()
 	const callersPerInstance = 2
 	is := is.New(f.t)
-	results := make([]*outcomes, len(f.instances))
-	done := make(chan struct{})
-	group := newGroup()
-	for n := range results {
-		results[n] = &outcomes{}
-		for range callersPerInstance {
-			c := &persistentCaller{f, n, &http.Client{Transport: &http.Transport{}}, results[n]}
-			group.Go(func() error { return c.run(done) })
-		}
-	}
+	results, stop := f.startCallers(callersPerInstance)
 	f.replace(0, present, results[0])
 	f.putConfiguration(validKey, mixedKey)
 	for n := range f.instances {
@@ -146,8 +137,7 @@
 	f.replace(1, present, results[1])
 	f.replace(0, earlier, results[0])
 	f.replace(2, present, results[2])
-	close(done)
-	is.NoErr(group.Wait())
+	is.NoErr(stop())
 	f.assertExecutions(results)
 }
 
@@ -168,18 +158,3 @@
 	}
 	f.awaitPeers()
 }
-
-// assertExecutions checks that answered requests have run once and the others have not.
-func (f *sharedFleet) assertExecutions(results []*outcomes) {
-	f.t.Helper()
-	is := is.New(f.t)
-	executions := f.executionCounts()
-	for _, o := range results {
-		for _, id := range o.answered {
-			is.Equal(executions[id], 1)
-		}
-		for _, id := range o.notRun {
-			is.Equal(executions[id], 0)
-		}
-	}
-}
