Divide tolerated rejections over the fleet that limits are divided over

Callers of brittle upstreams were counted from the live instances, but spread over the fleet as it was up to 30 s before, so after a loss some instances had no upstream to call and refused. Introduced with the limits. Change: both use one size of the fleet. After a loss shares stay smaller for 30 s. Measured: TestEachInstanceMayCallBrittleUpstreamsAfterALoss, 75 instances, 38 left, 25 upstreams, one rejection: fails before, passes after; the other brittle loads pass.

--- a/internal/core/dispatch/brittle_test.go
+++ b/internal/core/dispatch/brittle_test.go
@@ -104,3 +104,20 @@
 	is.New(t).True(d.WaitForRoom(now, task, full) > 0)
 	is.New(t).Equal(d.WaitForRoom(now.Add(task.Request.Route.LatencyTarget), task, full), time.Duration(0))
 }
+
+// TestEachInstanceMayCallBrittleUpstreamsAfterALoss guards against instances whose callers are
+// all refused since the fleet has become smaller.
+func TestEachInstanceMayCallBrittleUpstreamsAfterALoss(t *testing.T) {
+	const before, after, upstreams, limit = 75, 38, 25, 1
+	d := newDispatcher(newUpstreams("v1", upstreams)...)
+	s := d.services["llm"]
+	for n := range after {
+		d.SetFleetPosition(now, n, before)
+		d.SetFleetPosition(now.Add(time.Second), n, after)
+		own := 0
+		for _, u := range s.upstreams {
+			own += d.rejectionShare(s, u, limit)
+		}
+		is.New(t).True(own > 0)
+	}
+}
--- a/internal/core/dispatch/room.go
+++ b/internal/core/dispatch/room.go
@@ -30,11 +30,12 @@
 // the upstream and others its neighbours, so that each instance has some to call.
 func (d *Dispatcher) rejectionShare(s *service, u *placement.Upstream, limit int) int {
 	budget := max(1, int(rejectionMargin*float64(limit)))
-	if budget >= d.instances {
-		return budget / d.instances
+	size := d.fleet.Size()
+	if budget >= size {
+		return budget / size
 	}
 	count := len(s.upstreams)
-	callers := max(budget, (d.instances+count-1)/max(1, count))
+	callers := max(budget, (size+count-1)/max(1, count))
 	if d.fleet.IsCaller(callers, s.rank(u), count) {
 		return 1
 	}
