--- /dev/null
+++ b/internal/instance/entry/restore_test.go
@@ -0,0 +1,90 @@
+package entry
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// configBound is the time in which an acknowledged configuration must be in force.
+const configBound = 2 * time.Second
+
+// administer calls an administrative route of the store.
+func (f *testFleet) administer(method, path string) {
+	f.t.Helper()
+	is := is.New(f.t)
+	request, err := http.NewRequestWithContext(f.t.Context(), method, f.store.URL+"/admin/"+path, http.NoBody)
+	is.NoErr(err)
+	response, err := http.DefaultClient.Do(request)
+	is.NoErr(err)
+	is.NoErr(response.Body.Close())
+	is.Equal(response.StatusCode, http.StatusNoContent)
+}
+
+// putConfig writes a configuration of which the routes are the only part that differs.
+func (f *testFleet) putConfig(version string, routes ...string) {
+	f.t.Helper()
+	all := testRoute("safe", "safe")
+	for _, name := range routes {
+		all += "," + testRoute(name, "safe")
+	}
+	f.putObject("config", "main", `{"version":`+version+`,"routes":[`+all+`],"services":[{"name":"s"}],"limits":{"max_header_bytes":16384,"max_body_bytes":1048576}}`)
+}
+
+// TestConfigurationAfterARestoreIsInForce guards against instances that hold to a
+// configuration of before the store was restored from an older copy, since its revision is
+// higher than those of the configurations after it.
+func TestConfigurationAfterARestoreIsInForce(t *testing.T) {
+	t.Parallel()
+	f := newTestFleet(t, 3, 2)
+	f.administer(http.MethodPut, "backup")
+	for _, version := range []string{"4", "5", "6"} {
+		f.putConfig(version, "lost")
+	}
+	f.await("the routes to be lost are served", func() bool { return f.allServe("/lost/x") })
+	f.administer(http.MethodPost, "restore")
+	f.putConfig("7", "added")
+	acknowledged := time.Now()
+	f.await("the route added after the restore is served", func() bool { return f.allServe("/added/x") })
+	is.New(t).True(time.Since(acknowledged) <= configBound)
+	for n := range f.instances {
+		is.New(t).Equal(f.status(n, http.MethodGet, "/lost/x"), http.StatusNotFound)
+	}
+}
+
+// TestConfigurationIsNotOlderAfterARestore guards against keys and routes that work again
+// since the store was restored from a copy older than their removal.
+func TestConfigurationIsNotOlderAfterARestore(t *testing.T) {
+	t.Parallel()
+	f := newTestFleet(t, 3, 2)
+	f.putConfig("4", "removed")
+	f.await("the route is served", func() bool { return f.allServe("/removed/x") })
+	f.administer(http.MethodPut, "backup")
+	f.putConfig("5")
+	f.await("the route is removed", func() bool {
+		for n := range f.instances {
+			if f.status(n, http.MethodGet, "/removed/x") != http.StatusNotFound {
+				return false
+			}
+		}
+		return true
+	})
+	f.administer(http.MethodPost, "restore")
+	f.putObject("servers", "other", `{"service":"t","address":"127.0.0.1:1","zone":"dc-0","version":"v1","slots":1,"state":"ready","born":7}`)
+	end := time.Now().Add(configBound)
+	for n := 0; time.Now().Before(end); n++ {
+		is.New(t).Equal(f.status(n%len(f.instances), http.MethodGet, "/removed/x"), http.StatusNotFound)
+	}
+}
+
+// allServe reports whether all instances serve a path.
+func (f *testFleet) allServe(path string) bool {
+	for n := range f.instances {
+		if f.status(n, http.MethodGet, path) != http.StatusOK {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/standin/sharedplatform/store.go
+++ b/internal/standin/sharedplatform/store.go
@@ -5,6 +5,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net"
 	"net/http"
 	"slices"
@@ -32,6 +33,15 @@
 	faults  storeFaults
 	// calls is the number of calls to the object API, with refused ones.
 	calls int64
+	// restores is the number of times that a copy was restored.
+	restores uint64
+	backup   backup
+}
+
+// backup is a copy of the objects at a revision. The zero value is an empty store.
+type backup struct {
+	objects  map[string]map[string]storedObject
+	revision uint64
 }
 
 type storedObject struct {
@@ -79,12 +89,18 @@
 	AsOf   uint64        `json:"as_of"`
 }
 
+// eraHeader is the header of all answers that counts how often the store was restored
+// from a copy.
+const eraHeader = "Store-Era"
+
 // Handler returns the object API of the store and the /admin routes that
-// inject faults and count calls.
+// inject faults, count calls, and copy and restore the objects.
 func (s *Store) Handler() http.Handler {
 	routes := mux.NewRouter()
 	routes.HandleFunc("/admin/faults", s.putFaults).Methods(http.MethodPut)
 	routes.HandleFunc("/admin/counts", s.getCounts).Methods(http.MethodGet)
+	routes.HandleFunc("/admin/backup", s.putBackup).Methods(http.MethodPut)
+	routes.HandleFunc("/admin/restore", s.postRestore).Methods(http.MethodPost)
 	routes.HandleFunc("/objects/{kind}", s.withFaults(s.list)).Methods(http.MethodGet)
 	routes.HandleFunc("/objects/{kind}", s.withFaults(s.create)).Methods(http.MethodPost)
 	routes.HandleFunc("/objects/{kind}/{name}", s.withFaults(s.putSpec)).Methods(http.MethodPut)
@@ -100,6 +116,7 @@
 		s.mutex.Lock()
 		s.calls++
 		refused := s.isRefused(r)
+		s.setEra(w)
 		s.mutex.Unlock()
 		if refused {
 			w.WriteHeader(http.StatusServiceUnavailable)
@@ -137,6 +154,39 @@
 	s.notifyWatches()
 }
 
+// setEra sets the header that tells the era. The mutex must be held.
+func (s *Store) setEra(w http.ResponseWriter) {
+	w.Header().Set(eraHeader, strconv.FormatUint(1+s.restores, 10))
+}
+
+// putBackup copies the objects.
+func (s *Store) putBackup(w http.ResponseWriter, _ *http.Request) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.backup = backup{objects: cloneObjects(s.objects), revision: s.revision}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// postRestore replaces the objects by their copy. What was written since is lost, and its
+// revisions are given out again.
+func (s *Store) postRestore(w http.ResponseWriter, _ *http.Request) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.objects, s.revision = cloneObjects(s.backup.objects), s.backup.revision
+	s.history, s.droppedRevision = nil, s.revision
+	s.restores++
+	s.notifyWatches()
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func cloneObjects(objects map[string]map[string]storedObject) map[string]map[string]storedObject {
+	clone := make(map[string]map[string]storedObject, len(objects))
+	for kind, named := range objects {
+		clone[kind] = maps.Clone(named)
+	}
+	return clone
+}
+
 func (s *Store) list(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Query().Get("watch") != "" {
 		s.watch(w, r)
@@ -153,7 +203,7 @@
 
 // watch answers with the events after a revision, or with an empty list after
 // wait_ms. It answers with status 410 if events after that revision were
-// dropped, also while it waits. It closes the connection if the caller becomes
+// dropped or the store does not have that revision, also while it waits. It closes the connection if the caller becomes
 // refused while it waits.
 func (s *Store) watch(w http.ResponseWriter, r *http.Request) {
 	afterRevision, _ := strconv.ParseUint(r.URL.Query().Get("watch"), 10, 64)
@@ -162,8 +212,9 @@
 	defer timer.Stop()
 	for {
 		s.mutex.Lock()
-		response, historyDropped, changed := s.eventsAfter(mux.Vars(r)["kind"], afterRevision), afterRevision < s.droppedRevision, s.changeSignal()
+		response, historyDropped, changed := s.eventsAfter(mux.Vars(r)["kind"], afterRevision), afterRevision < s.droppedRevision || afterRevision > s.revision, s.changeSignal()
 		refused := s.isRefused(r)
+		s.setEra(w)
 		s.mutex.Unlock()
 		switch {
 		case refused:
