Order what the store says by its era, then by its revision

Callers of an added route got 404 for as long as the revisions of a store that was restored from a copy stayed below that of the state before it; so for revoked credentials. The highest revision won everywhere: in the cache, in the position of its watches, and between peers.

Cause: a revision was taken for an order over all time, but it is one within an era of the store. Peers of earlier builds do not tell eras: their versions compare by revision as before, until this instance has seen a restore.

--- a/internal/core/catalog/catalog.go
+++ b/internal/core/catalog/catalog.go
@@ -130,9 +130,9 @@
 	Service  tables.ServiceID
 	Target   tables.VersionID
 	Duration time.Duration
-	// Revision is the revision of the rollout's object in the store, for
-	// conditional writes.
-	Revision uint64
+	// Revision is the revision of the rollout's object in the store, and Era the era of
+	// the store to which it belongs, for conditional writes.
+	Era, Revision uint64
 	// Progress is what the fleet has written about the rollout to Target.
 	Progress Progress
 }
--- a/internal/fleet/peers/documents.go
+++ b/internal/fleet/peers/documents.go
@@ -9,16 +9,18 @@
 
 // DocumentVersion is the version of a document that an instance has.
 type DocumentVersion struct {
-	// Revision increases with each change of the document.
+	// Revision increases with each change of the document in an era.
 	Revision uint64 `cbor:"1,keyasint"`
 	// Digest is the hash of the content. Versions with the same digest need no
 	// synchronization.
 	Digest uint64 `cbor:"2,keyasint"`
+	// Era is the era of the store to which the revision belongs, zero if it is not known.
+	Era uint64 `cbor:"3,keyasint,omitempty"`
 }
 
 // Documents connects a node to the documents that instances replicate as a
-// whole. The version with the highest revision wins. The zero value has no
-// documents.
+// whole. The version with the highest revision of the highest era wins. The zero value has
+// no documents.
 type Documents struct {
 	// Versions returns the versions of the local documents by name.
 	Versions func() map[string]DocumentVersion
@@ -44,10 +46,18 @@
 	return d.Versions()
 }
 
-// newerThan reports whether a version has a higher revision than the other and
-// different content.
+// After reports whether a version is later than the other one. If the era of one is not
+// known, only the revisions count.
+func (v DocumentVersion) After(other DocumentVersion) bool {
+	if v.Era != other.Era && v.Era != 0 && other.Era != 0 {
+		return v.Era > other.Era
+	}
+	return v.Revision > other.Revision
+}
+
+// newerThan reports whether a version is later than the other and has different content.
 func (v DocumentVersion) newerThan(other DocumentVersion) bool {
-	return v.Revision > other.Revision && v.Digest != other.Digest
+	return v.After(other) && v.Digest != other.Digest
 }
 
 // syncDocuments fetches each document of which the peer has a newer version,
--- a/internal/instance/entry/tasks.go
+++ b/internal/instance/entry/tasks.go
@@ -293,7 +293,7 @@
 		zap.Any("old", step.BaselineEvidence),
 	}
 	err := i.store.PutStatus(ctx, platform.KindRollouts, string(step.Rollout.Service),
-		platform.Revision(step.Rollout.Revision), platform.NewRolloutStatus(step.Rollout.Target, step.Progress))
+		platform.Position{Era: platform.Era(step.Rollout.Era), Revision: platform.Revision(step.Rollout.Revision)}, platform.NewRolloutStatus(step.Rollout.Target, step.Progress))
 	if err != nil {
 		events.RolloutStatusNotWritten.Log(i.log, append(fields, zap.Error(err))...)
 		return false
--- a/internal/instance/storecache/storecache.go
+++ b/internal/instance/storecache/storecache.go
@@ -54,15 +54,17 @@
 	// at once.
 	NotifyPeers func()
 
-	// watchRevision is the revision from which to watch. If it is zero, the
+	// watchPosition is the position from which to watch. If it is zero, the
 	// objects are listed first. Only Run uses it.
-	watchRevision platform.Revision
+	watchPosition platform.Position
 
 	mutex   sync.Mutex
 	objects map[string]platform.Object
 	version peers.DocumentVersion
-	// peerRevision is the highest revision of the snapshots applied from peers.
-	peerRevision platform.Revision
+	// firstEra is the era of the first state.
+	firstEra uint64
+	// peerPosition is the latest position of the snapshots applied from peers.
+	peerPosition platform.Position
 	// hasState is true once the objects are known from the store or a peer.
 	hasState bool
 	// storeDown is true while calls to the store fail.
@@ -107,7 +109,7 @@
 			c.recordStoreStatus(nil)
 			backoff = minBackoff
 		case errors.Is(err, platform.ErrHistoryGone):
-			c.watchRevision = 0
+			c.watchPosition = platform.Position{}
 			events.WatchHistoryExpired.Log(c.Log, zap.String("kind", string(c.Kind)))
 		default:
 			c.recordStoreStatus(err)
@@ -142,8 +144,8 @@
 	return content, c.version, true
 }
 
-// ApplySnapshot replaces the objects by a peer's snapshot if that has a higher
-// revision or no objects are known yet, and reports whether it did.
+// ApplySnapshot replaces the objects by a peer's snapshot if that is later
+// or no objects are known yet, and reports whether it did.
 func (c *Cache) ApplySnapshot(version peers.DocumentVersion, content []byte) bool {
 	var objects []platform.Object
 	if err := json.Unmarshal(content, &objects); err != nil {
@@ -151,10 +153,14 @@
 		return false
 	}
 	c.mutex.Lock()
-	newer := !c.hasState || version.Revision > c.version.Revision
+	newer := !c.hasState || version.After(c.version) && (version.Era != 0 || c.version.Era == c.firstEra)
 	if newer {
-		c.replaceObjects(objects, version.Revision)
-		c.peerRevision = platform.Revision(version.Revision)
+		if version.Era == 0 {
+			// The peer's build does not tell eras.
+			version.Era = c.version.Era
+		}
+		c.replaceObjects(objects, version)
+		c.peerPosition = platform.Position{Era: platform.Era(version.Era), Revision: platform.Revision(version.Revision)}
 	}
 	c.mutex.Unlock()
 	if newer {
@@ -167,27 +173,27 @@
 // watch from, otherwise a watch.
 func (c *Cache) listOrWatch(ctx context.Context) error {
 	started := time.Now()
-	if c.watchRevision == 0 {
-		objects, revision, err := c.Store.List(ctx, c.Kind)
+	if c.watchPosition == (platform.Position{}) {
+		objects, position, err := c.Store.List(ctx, c.Kind)
 		if err != nil {
 			return trace.Wrap(err)
 		}
-		c.watchRevision = revision
-		c.applyList(objects, revision, c.changeAge(started))
+		c.watchPosition = position
+		c.applyList(objects, position, c.changeAge(started))
 		return nil
 	}
 	c.skipToPeers()
 	wait := c.watchWait(started)
-	changes, revision, err := c.Store.Watch(ctx, c.Kind, c.watchRevision, wait)
+	changes, position, err := c.Store.Watch(ctx, c.Kind, c.watchPosition, wait)
 	if err != nil {
 		if time.Since(started) >= wait {
 			// The watch did not return in time, and may have missed changes.
-			c.watchRevision = 0
+			c.watchPosition = platform.Position{}
 		}
 		return trace.Wrap(err)
 	}
-	c.watchRevision = max(c.watchRevision, revision)
-	if c.applyChanges(changes, revision, c.changeAge(started)) {
+	c.watchPosition = later(c.watchPosition, position)
+	if c.applyChanges(changes, position, c.changeAge(started)) {
 		delay.Sleep(ctx, c.batchDelay())
 	}
 	return nil
@@ -198,7 +204,15 @@
 func (c *Cache) skipToPeers() {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.watchRevision = max(c.watchRevision, c.peerRevision)
+	c.watchPosition = later(c.watchPosition, c.peerPosition)
+}
+
+// later returns the later of two positions.
+func later(a, b platform.Position) platform.Position {
+	if b.After(a) {
+		return b
+	}
+	return a
 }
 
 // batchDelay returns the delay between a change and the next watch.
@@ -240,13 +254,14 @@
 }
 
 // applyList applies the result of a list, unless a peer's snapshot is newer.
-func (c *Cache) applyList(objects []platform.Object, revision platform.Revision, age time.Duration) {
+func (c *Cache) applyList(objects []platform.Object, position platform.Position, age time.Duration) {
 	c.mutex.Lock()
-	newer := !c.hasState || uint64(revision) > c.version.Revision
+	version := peers.DocumentVersion{Era: uint64(position.Era), Revision: uint64(position.Revision)}
+	newer := !c.hasState || version.After(c.version)
 	previousDigest := c.version.Digest
 	first := !c.hasState
 	if newer {
-		c.replaceObjects(objects, uint64(revision))
+		c.replaceObjects(objects, version)
 	}
 	changed := first || c.version.Digest != previousDigest
 	c.mutex.Unlock()
@@ -258,11 +273,15 @@
 
 // applyChanges applies the result of a watch and reports whether any object
 // changed. Changes older than the state are ignored.
-func (c *Cache) applyChanges(changes []platform.Change, revision platform.Revision, age time.Duration) bool {
+func (c *Cache) applyChanges(changes []platform.Change, position platform.Position, age time.Duration) bool {
 	if len(changes) == 0 {
 		return false
 	}
 	c.mutex.Lock()
+	if uint64(position.Era) != c.version.Era {
+		// A peer's snapshot is of a later era.
+		changes = nil
+	}
 	changed := false
 	for _, change := range changes {
 		current, ok := c.objects[change.Object.Name]
@@ -283,7 +302,7 @@
 		changed = true
 	}
 	if changed {
-		c.version.Revision = max(c.version.Revision, uint64(revision))
+		c.version.Revision = max(c.version.Revision, uint64(position.Revision))
 		c.version.Digest = c.digest()
 	}
 	c.mutex.Unlock()
@@ -294,14 +313,22 @@
 	return changed
 }
 
-// replaceObjects replaces all objects. The caller must hold the mutex.
-func (c *Cache) replaceObjects(objects []platform.Object, revision uint64) {
-	c.hasState = true
+// replaceObjects replaces all objects by those of a version, and sets the version's digest.
+// The caller must hold the mutex.
+func (c *Cache) replaceObjects(objects []platform.Object, version peers.DocumentVersion) {
+	switch {
+	case !c.hasState:
+		c.hasState, c.firstEra = true, version.Era
+	case version.Era > c.version.Era:
+		events.StoreRestored.Log(c.Log, zap.String("kind", string(c.Kind)), zap.Uint64("era", version.Era),
+			zap.Uint64("revision", version.Revision), zap.Uint64("known", c.version.Revision))
+	}
 	c.objects = make(map[string]platform.Object, len(objects))
 	for _, object := range objects {
 		c.objects[object.Name] = object
 	}
-	c.version = peers.DocumentVersion{Revision: revision, Digest: c.digest()}
+	c.version = version
+	c.version.Digest = c.digest()
 }
 
 // publish logs a change and calls OnChange. It holds the mutex, so calls of
@@ -312,6 +339,7 @@
 	events.ObjectsChanged.Log(c.Log,
 		zap.String("kind", string(c.Kind)),
 		zap.String("source", source),
+		zap.Uint64("era", c.version.Era),
 		zap.Uint64("revision", c.version.Revision),
 		zap.Int("objects", len(c.objects)),
 	)
--- a/internal/telemetry/events/events.go
+++ b/internal/telemetry/events/events.go
@@ -50,6 +50,7 @@
 	ObjectUndecodable       = Event{305, zap.WarnLevel, "object cannot be decoded and is ignored", "Correct or remove the object, or find out what writes it."}
 	RolloutStatusWritten    = Event{306, zap.InfoLevel, "status of a rollout was written", "None."}
 	RolloutStatusNotWritten = Event{307, zap.WarnLevel, "status of a rollout could not be written", "None if another instance has written it; otherwise check the platform."}
+	StoreRestored           = Event{308, zap.WarnLevel, "store was restored from an older copy", "Check that the tables in the store are those last applied; the instance keeps the configuration in force until a later one is written."}
 	RaterUnavailable        = Event{302, zap.WarnLevel, "rating service does not answer", "Check the rating service; rollouts do not advance without ratings."}
 )
 
@@ -107,7 +108,7 @@
 		InstanceStarted, InstanceReady, InstanceStopping, InstanceStopped, TaskFailed, DrainTimedOut,
 		SettingsReloaded, SettingsRejected, ProcessPaused, LogEntriesDropped,
 		ConfigInForce, ConfigAccepted, ConfigRejected, ConfigUnreadable,
-		PlatformUnavailable, PlatformAvailable, RaterUnavailable, WatchHistoryExpired, ObjectsChanged, ObjectUndecodable, RolloutStatusWritten, RolloutStatusNotWritten,
+		PlatformUnavailable, PlatformAvailable, RaterUnavailable, WatchHistoryExpired, ObjectsChanged, ObjectUndecodable, RolloutStatusWritten, RolloutStatusNotWritten, StoreRestored,
 		PeerDown, BillCopiesHeld, PeerBillsSettled, BillsPending, BillLimitReached, BillNotCopied,
 		LinksLost, LinksBack, UpstreamLimited,
 		RolloutAdvanced, VersionWithdrawn, VersionJudgedBad, PartQuarantined, PartReleased, PartNotStored,
