Let one instance admit the calls to a brittle upstream

In a fleet with more instances than an upstream tolerates rejections, callers were refused although the upstreams had room, and the upstreams fell over: 75 instances, 5 upstreams and 6 rejections a second made 5 of 5 fall over in 9 s and served 6,574 of 11,250 requests.

Cause: each instance was given a possible rejection of at least one upstream, so that the shares added up to ceil(instances/upstreams) whatever is tolerated; and a call to a plain service counts as a possible rejection until it is answered, so the shares bounded the throughput. The test of the shares had its bound from the code.

Now an owner, found by rendezvous hashing over the members, admits the calls of all to an upstream, up to what it runs at once; the others connect through it and wait there, in order, or are refused at once. Rejections are reported to it. A service with models keeps shares where each instance has some to call; they add up to less than what is tolerated, without exception.

TestBrittleUpstreamsStayUpInAnyFleet failed in each fixed shape; now no fall in them and in 150 drawn ones, nine tenths served in each. With TestBrittleUpstreamsRejectFewCalls of instance/entry three of four instances served 3 of 200 requests before, all 200 now, no rejection. The bound of the test of the same name in edge/ingress is now what the upstream tolerates, 8, for 2, the share of one in a fleet that was assumed to be of eight. TestEachInstanceMayCallBrittleUpstreams now holds sums to what is tolerated.

--- a/internal/backend/connect/connect.go
+++ b/internal/backend/connect/connect.go
@@ -35,11 +35,22 @@
 	Candidates func() []links.Peer
 	// Through connects through a peer.
 	Through func(ctx context.Context, peer tables.InstanceID, address string) (net.Conn, error)
+	// ThroughOwner connects through a peer once that has room for a call to the upstream. It
+	// returns ErrNoRoom if it has none within the wait.
+	ThroughOwner func(ctx context.Context, owner tables.InstanceID, address string, wait time.Duration) (net.Conn, error)
+	// SendRejection tells an owner that the upstream has rejected a call that it admitted.
+	SendRejection func(ctx context.Context, owner tables.InstanceID, address string)
+	// AcquireRoom asks for room for a call to an upstream. It calls onOpen, which does not
+	// block, once there is room, and returns a function that gives the room up or ends the
+	// wait, or nil if there is none within the wait. It is nil where no calls are admitted.
+	AcquireRoom func(address string, wait time.Duration, onOpen func()) (release func())
 	// Peers spreads the connections over the peers.
 	Peers links.Peers
 
 	// probes are the probes of own links that are not over.
 	probes errgroup.Group
+	// reports are the reports of rejections that are not over.
+	reports errgroup.Group
 }
 
 const (
@@ -78,6 +89,14 @@
 
 // DialContext connects to an upstream.
 func (d *Dialer) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
+	if admission, ok := ctx.Value(admissionKey{}).(*Admission); ok {
+		return d.admitted(ctx, network, address, admission)
+	}
+	return d.dial(ctx, network, address)
+}
+
+// dial connects to an upstream, over the own link or through a peer.
+func (d *Dialer) dial(ctx context.Context, network, address string) (net.Conn, error) {
 	switch d.Links.Path(time.Now(), links.Address(address)) {
 	case links.Relayed:
 		return d.relayed(ctx, network, address)
--- a/internal/backend/forward/forward.go
+++ b/internal/backend/forward/forward.go
@@ -40,6 +40,8 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// Admission, if it is not nil, asks for room at the upstream before the call.
+	Admission *connect.Admission
 	// OnConnected is called once there is a connection, with the peer that carries it,
 	// empty for a direct one. It may be nil.
 	OnConnected func(through tables.InstanceID)
@@ -83,6 +85,9 @@
 			}
 		},
 	})
+	if call.Admission != nil {
+		ctx = connect.WithAdmission(ctx, call.Admission)
+	}
 	var body io.ReadCloser = http.NoBody
 	if len(call.Body) > 0 {
 		body = io.NopCloser(bytes.NewReader(call.Body))
--- a/internal/core/dispatch/dispatch.go
+++ b/internal/core/dispatch/dispatch.go
@@ -43,6 +43,7 @@
 	// pacing.MinInstances.
 	instances int
 	fleet     pacing.Fleet
+	owners    pacing.Owners
 	// limitChanges are the changes that LimitChanges has not returned yet.
 	limitChanges pacing.Changes
 	sessions     sessionTable
--- a/internal/core/dispatch/room.go
+++ b/internal/core/dispatch/room.go
@@ -3,7 +3,9 @@
 import (
 	"time"
 
+	"mimosayard/internal/core/pacing"
 	"mimosayard/internal/core/placement"
+	"mimosayard/internal/core/tables"
 )
 
 // rejectionMargin is the fraction of an upstream's tolerated rejections that the fleet uses.
@@ -17,11 +19,42 @@
 	if count := d.totals[statementKey(valueStatements, u)]; limit == 0 && count > 0 {
 		limit = int(d.totals[statementKey(valueRejections, u)] / count)
 	}
-	if limit <= 0 {
+	s := d.service(u.Service)
+	switch {
+	case limit <= 0:
 		u.AllowRejections()
-		return
+	case d.needsOwner(s, limit):
+		u.SetOwner(d.owners.Of(now, u.ID))
+		u.Room.SetTolerated(rejectionBudget(limit))
+	default:
+		u.LimitRejections(d.rejectionShare(s, u, limit))
 	}
-	u.LimitRejections(d.rejectionShare(d.service(u.Service), u, limit))
+}
+
+// needsOwner reports whether one instance has to admit the calls of all to an upstream,
+// given how many rejections in a second it tolerates. A plain service may reject a call until
+// it answers it, so all calls in flight would be within the rejections that it tolerates. An
+// upstream with models starts to answer early; there it has to only where not all instances
+// could call an upstream otherwise.
+func (d *Dispatcher) needsOwner(s *service, limit int) bool {
+	budget, size := rejectionBudget(limit), d.fleet.Size()
+	callersNeeded := (size + len(s.upstreams) - 1) / max(1, len(s.upstreams))
+	return !d.hasModels(s) || budget < min(size, callersNeeded)
+}
+
+// hasModels reports whether the upstreams of the service run models.
+func (d *Dispatcher) hasModels(s *service) bool {
+	if d.index == nil {
+		return false
+	}
+	configured := d.index.Service(s.name)
+	return configured != nil && configured.Engine != nil
+}
+
+// rejectionBudget returns how many rejections in a second the fleet uses of those that an
+// upstream tolerates.
+func rejectionBudget(limit int) int {
+	return max(1, int(rejectionMargin*float64(limit)))
 }
 
 // rejectionShare returns how many calls of this instance an upstream may have to reject
@@ -29,19 +62,81 @@
 // add up to less. If there are more instances than rejections, only some of them call
 // the upstream and others its neighbours, so that each instance has some to call.
 func (d *Dispatcher) rejectionShare(s *service, u *placement.Upstream, limit int) int {
-	budget := max(1, int(rejectionMargin*float64(limit)))
-	size := d.fleet.Size()
+	budget, size := rejectionBudget(limit), d.fleet.Size()
 	if budget >= size {
 		return budget / size
 	}
-	count := len(s.upstreams)
-	callers := max(budget, (size+count-1)/max(1, count))
-	if d.fleet.IsCaller(callers, s.rank(u), count) {
+	if d.fleet.IsCaller(budget, s.rank(u), len(s.upstreams)) {
 		return 1
 	}
 	return 0
 }
 
+// SetMembers sets the instances of the fleet that are up, and which of them this one is.
+func (d *Dispatcher) SetMembers(self tables.InstanceID, members []tables.InstanceID) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.owners.Set(self, members)
+}
+
+// RecordOwnerLost records that the instance that admits the calls to the upstream of a call
+// could not be reached. Another one takes its place.
+func (d *Dispatcher) RecordOwnerLost(now time.Time, call *Call) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.owners.Avoid(now, call.Owner)
+	if _, owned := call.upstream.Owner(); owned {
+		call.upstream.SetOwner(d.owners.Of(now, call.Upstream.ID))
+	}
+}
+
+// AcquireRoom asks for room for a call of any instance at the upstream of the address. It calls
+// onOpen, which must not block, once there is room. It returns nil if there is none within the
+// wait, or if no upstream is known at the address.
+func (d *Dispatcher) AcquireRoom(now time.Time, address string, wait time.Duration, onOpen func()) *pacing.Permit {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	for _, s := range d.services {
+		for _, u := range s.upstreams {
+			if u.Address == address && u.Usable() {
+				return u.Room.Acquire(now, u.Slots, wait, onOpen)
+			}
+		}
+	}
+	return nil
+}
+
+// RecordRejection records that the upstream of an address has rejected a call that this instance
+// admitted for a peer.
+func (d *Dispatcher) RecordRejection(now time.Time, address string) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	for _, s := range d.services {
+		for _, u := range s.upstreams {
+			if u.Address == address {
+				u.Room.RecordRejection(now)
+			}
+		}
+	}
+}
+
+// RoomFor is like AcquireRoom, but returns a function that releases the room, nil if there is
+// none.
+func (d *Dispatcher) RoomFor(address string, wait time.Duration, onOpen func()) (release func()) {
+	permit := d.AcquireRoom(time.Now(), address, wait, onOpen)
+	if permit == nil {
+		return nil
+	}
+	return func() { d.ReleaseRoom(time.Now(), permit) }
+}
+
+// ReleaseRoom gives up the room of a call that has ended, or that no longer waits.
+func (d *Dispatcher) ReleaseRoom(now time.Time, permit *pacing.Permit) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	permit.Release(now)
+}
+
 // rank returns the number of the service's upstreams whose IDs are lower.
 func (s *service) rank(u *placement.Upstream) int {
 	rank := 0
--- a/internal/core/dispatch/task.go
+++ b/internal/core/dispatch/task.go
@@ -60,6 +60,8 @@
 	// upstream, losses the number of those that were lost before their answer got past
 	// its beginning.
 	calls, arrivals, losses int
+	// noRoom is the number of upstreams that had no room for the task in time.
+	noRoom int
 	// suspects are the parts that may be at fault for the crash of an upstream, nil until
 	// they are needed.
 	suspects []quarantine.PartID
@@ -82,6 +84,11 @@
 	// StartTimeout bounds the wait for the start of the answer. Zero means
 	// until the deadline.
 	StartTimeout time.Duration
+	// RoomWait bounds the wait until the instance that admits the calls to the upstream has
+	// room for this one. It is zero if the upstream is called without that.
+	RoomWait time.Duration
+	// Owner is the instance that admits the call, empty for this one.
+	Owner tables.InstanceID
 	// UpstreamWork is the upstream's work in flight before the call.
 	UpstreamWork float64
 	// ExpectedStart is the expected wait for the start of the answer, zero if
@@ -140,6 +147,9 @@
 	// Abandoned is a call that the router ended, without any fault of the
 	// upstream.
 	Abandoned
+	// NoRoom is a call that was not sent, since the instance that admits the calls to
+	// the upstream had no room for it.
+	NoRoom
 )
 
 // Admit accepts a request, or refuses it before it is sent to any upstream.
@@ -191,6 +201,11 @@
 	if u == nil {
 		return nil, noUpstreamNow(now, task.service.name, candidates)
 	}
+	owner, owned := u.Owner()
+	roomWait := task.latestStart().Sub(now)
+	if owned && (roomWait < minRoomWait || task.noRoom >= maxNoRoom) {
+		return nil, faults.New(faults.Overloaded, "the upstream has no room in time")
+	}
 	u.RecordCall(now)
 	task.service.waiting.remove(task, true)
 	if task.arrivals > 0 {
@@ -206,6 +221,9 @@
 		work:         1,
 		sentAt:       now,
 	}
+	if owned {
+		call.Owner, call.RoomWait = owner, roomWait
+	}
 	if criteria.Prompt != nil {
 		call.place = forecast.Elsewhere
 		if u == cacheHolder {
@@ -369,6 +387,12 @@
 	defer d.mutex.Unlock()
 	u := call.upstream
 	u.RemoveWork(call.work)
+	if result == NoRoom {
+		task.calls--
+		task.noRoom++
+		task.tried = append(task.tried, u.ID)
+		return
+	}
 	u.Release(now, call.reservation, result == Refused)
 	d.rememberSession(now, task)
 	if d.isLinkLost(now, call, result) {
@@ -384,9 +408,12 @@
 		u.RecordFailure(now, true)
 	case Refused:
 		u.RecordRefusal(now)
+		if call.RoomWait > 0 && call.Owner == "" {
+			u.Room.RecordRejection(now)
+		}
 	case AddressReused:
 		u.MarkAddressReused()
-	case Abandoned, LinkLost:
+	case Abandoned, LinkLost, NoRoom:
 	}
 	if result != Served && result != Abandoned {
 		task.tried = append(task.tried, u.ID)
--- a/internal/core/dispatch/waiting.go
+++ b/internal/core/dispatch/waiting.go
@@ -30,6 +30,9 @@
 	// maxRoomWaitFraction is the fraction of its target for which a request waits for
 	// room. The rest is for its run.
 	maxRoomWaitFraction = 0.5
+	// maxNoRoom is the number of upstreams that may have no room for a task in time before
+	// it is refused.
+	maxNoRoom = 2
 	// minRoomWait is the shortest time between two looks for room.
 	minRoomWait = 2 * time.Millisecond
 	// turnsPerRound is the number of calls of which the last one goes to the oldest task
@@ -143,10 +146,10 @@
 // served within its target. If limits leave no room for it in that time, it is refused at
 // once, and the fault says when to return.
 func (d *Dispatcher) WaitForRoom(now time.Time, task *Task, fault *faults.Error) time.Duration {
-	if fault.Kind != faults.Overloaded {
+	if fault.Kind != faults.Overloaded || task.noRoom >= maxNoRoom {
 		return 0
 	}
-	latest := task.Request.ArrivedAt.Add(time.Duration(maxRoomWaitFraction * float64(task.latencyTarget())))
+	latest := task.latestStart()
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	list := &task.service.waiting
@@ -175,6 +178,11 @@
 	return wait
 }
 
+// latestStart returns the time until which a task waits for room.
+func (t *Task) latestStart() time.Time {
+	return t.Request.ArrivedAt.Add(time.Duration(maxRoomWaitFraction * float64(t.latencyTarget())))
+}
+
 // nextRoom returns when the first of the upstreams takes another call, zero if that is not
 // known, and the rate of calls that their limits leave to this instance, zero if not all of
 // them name limits.
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -48,6 +48,9 @@
 	limited bool
 
 	rejections rejectionLimit
+	admission  admission
+	// Room bounds the calls of all instances that this one admits.
+	Room pacing.Semaphore
 
 	catalog.Upstream
 	// Calls and Failures count this instance's recent calls and those of them
@@ -137,8 +140,13 @@
 	probeInterval = 250 * time.Millisecond
 )
 
-// Work returns the fleet's work in flight at the upstream.
+// Work returns the fleet's work in flight at the upstream, or only that of this instance if
+// an owner admits the calls: all would choose the upstream that had the least work a while
+// ago, and wait there while others have room.
 func (u *Upstream) Work() float64 {
+	if u.admission.owned {
+		return u.OwnWork
+	}
 	return u.OwnWork + u.OthersWork
 }
 
@@ -233,7 +241,7 @@
 // UpdateLimited updates the state that is derived from the limits of the upstream.
 func (u *Upstream) UpdateLimited() {
 	_, named := u.Limit.Named()
-	u.limited = named || u.rejections.limited
+	u.limited = named || u.rejections.limited || u.admission.owned
 }
 
 // RoomAt returns when one more call is within the limits that the upstream has stated, as
--- a/internal/core/placement/rejections.go
+++ b/internal/core/placement/rejections.go
@@ -58,18 +58,20 @@
 // in a second.
 func (u *Upstream) LimitRejections(share int) {
 	u.rejections.limited, u.rejections.share = true, share
+	u.admission = admission{}
 	u.UpdateLimited()
 }
 
 // AllowRejections ends the limit on rejections.
 func (u *Upstream) AllowRejections() {
 	u.rejections.limited, u.rejections.rejected, u.rejections.unsure = false, nil, nil
+	u.admission = admission{}
 	u.UpdateLimited()
 }
 
 // RejectionsLimited reports whether there is a limit on the upstream's rejections.
 func (u *Upstream) RejectionsLimited() bool {
-	return u.rejections.limited
+	return u.rejections.limited || u.admission.owned
 }
 
 // MayReject reports whether the upstream tolerates it if it has to reject one more call.
--- a/internal/edge/ingress/calls.go
+++ b/internal/edge/ingress/calls.go
@@ -13,6 +13,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"mimosayard/internal/backend/connect"
 	"mimosayard/internal/backend/forward"
 	"mimosayard/internal/core/dispatch"
 	"mimosayard/internal/core/faults"
@@ -47,6 +48,11 @@
 func (x *exchange) makeCall(parent context.Context, call *dispatch.Call) (done bool, err error) {
 	ctx, cancel := context.WithCancelCause(parent)
 	defer cancel(nil)
+	var admission *connect.Admission
+	if call.RoomWait > 0 {
+		admission = &connect.Admission{Owner: call.Owner, Wait: call.RoomWait}
+		defer admission.End()
+	}
 	result := dispatch.Abandoned
 	defer func() {
 		if result == dispatch.Broken || result == dispatch.Abandoned && !call.Started() {
@@ -54,10 +60,13 @@
 			x.contentPart()
 		}
 		x.server.Dispatcher.EndCall(time.Now(), x.task, call, result)
+		if result == dispatch.Refused && call.Owner != "" && x.server.ReportRejection != nil {
+			x.server.ReportRejection(call.Owner, call.Upstream.Address)
+		}
 		x.summarizeCall(call, result, err)
 	}()
 	stopTimer := func() {}
-	response, sendErr := x.send(ctx, call, func() { stopTimer = x.startResponseTimer(call, cancel) })
+	response, sendErr := x.send(ctx, call, admission, func() { stopTimer = x.startResponseTimer(call, cancel) })
 	stopTimer()
 	result, done, err = x.receive(ctx, cancel, call, response, sendErr)
 	return done, err
@@ -85,8 +94,9 @@
 }
 
 // send sends the request to the upstream of a call and returns the response once
-// its header has arrived. It calls onConnected once there is a connection.
-func (x *exchange) send(ctx context.Context, call *dispatch.Call, onConnected func()) (*forward.Response, error) {
+// its header has arrived. It calls onConnected once there is a connection. If admission is
+// not nil, it first asks for room.
+func (x *exchange) send(ctx context.Context, call *dispatch.Call, admission *connect.Admission, onConnected func()) (*forward.Response, error) {
 	overrides := platform.HeaderOverrides{
 		Upstream:    call.Upstream.ID,
 		Team:        x.teamName(),
@@ -97,12 +107,13 @@
 		CacheSource: call.CacheSource,
 	}
 	return x.server.UpstreamClient.Send(ctx, forward.Request{
-		Address: call.Upstream.Address,
-		Method:  x.request.Method,
-		Target:  x.request.RequestURI,
-		Host:    x.request.Host,
-		Header:  platform.ForwardHeader(x.request.Header, overrides),
-		Body:    x.body,
+		Address:   call.Upstream.Address,
+		Method:    x.request.Method,
+		Target:    x.request.RequestURI,
+		Host:      x.request.Host,
+		Header:    platform.ForwardHeader(x.request.Header, overrides),
+		Body:      x.body,
+		Admission: admission,
 		OnConnected: func(through tables.InstanceID) {
 			x.server.Dispatcher.RecordConnected(time.Now(), call, through)
 			onConnected()
@@ -117,6 +128,9 @@
 	if errors.Is(sendErr, syscall.ECONNREFUSED) {
 		x.server.Dispatcher.RecordConnectionRefused(time.Now(), call)
 	}
+	if errors.Is(sendErr, connect.ErrOwnerLost) {
+		x.server.Dispatcher.RecordOwnerLost(time.Now(), call)
+	}
 	if sendErr != nil {
 		return x.classifyCallError(ctx, sendErr)
 	}
@@ -211,6 +225,8 @@
 	switch {
 	case x.request.Context().Err() != nil:
 		return dispatch.Abandoned, true, errCallerDisconnected
+	case errors.Is(err, connect.ErrNoRoom), errors.Is(err, connect.ErrOwnerLost):
+		return dispatch.NoRoom, false, faults.NotRun(faults.Overloaded, "no room in time")
 	case errors.Is(err, forward.ErrNotConnected):
 		return dispatch.Unreachable, false, faults.NotRun(faults.UpstreamFailed, "the upstream could not be reached: "+connectFailure(err))
 	case errors.Is(context.Cause(ctx), errResponseTimeout), errors.Is(context.Cause(ctx), errStreamIdle):
--- a/internal/edge/ingress/ingress.go
+++ b/internal/edge/ingress/ingress.go
@@ -32,8 +32,11 @@
 type Server struct {
 	Dispatcher     *dispatch.Dispatcher
 	UpstreamClient *forward.Client
-	Metrics        *metrics.Recorder
-	Log            *zap.Logger
+	// ReportRejection tells the instance that admitted a call that the upstream at the
+	// address has rejected it. It must not block, and may be nil in a fleet of one.
+	ReportRejection func(owner tables.InstanceID, address string)
+	Metrics         *metrics.Recorder
+	Log             *zap.Logger
 	// SinceShutdown returns the time since the instance began to shut down,
 	// zero if it has not.
 	SinceShutdown func() time.Duration
--- a/internal/edge/ingress/outcomes.go
+++ b/internal/edge/ingress/outcomes.go
@@ -42,6 +42,7 @@
 	dispatch.LinkLost:      "cut",
 	dispatch.AddressReused: "misnamed",
 	dispatch.Abandoned:     "dropped",
+	dispatch.NoRoom:        "not admitted",
 }
 
 // writeError writes an error response of the router itself.
@@ -72,8 +73,11 @@
 // milliseconds.
 func (x *exchange) summarizeCall(call *dispatch.Call, result dispatch.Result, err error) {
 	upstream := string(call.Upstream.ID) + "@" + string(call.Upstream.Version)
-	if call.Through() != "" {
+	switch {
+	case call.Through() != "":
 		upstream += " through " + string(call.Through())
+	case call.Owner != "":
+		upstream += " admitted by " + string(call.Owner)
 	}
 	summary := fmt.Sprintf("%s %s %s wait %d expected %d pause %d work %.1f", resultNames[result], upstream, call.Model, call.StartLatency().Milliseconds(), call.ExpectedStart.Milliseconds(), call.MeanGap().Milliseconds(), call.UpstreamWork)
 	if err != nil {
--- a/internal/fleet/peers/node.go
+++ b/internal/fleet/peers/node.go
@@ -68,9 +68,13 @@
 	// Zero means defaultInexactValueLimit.
 	InexactValueLimit int
 
-	// RelayDial connects to an upstream for a peer. It returns ErrRelayRefused if this
-	// instance relays no connection to the address now. If it is nil, none is relayed.
-	RelayDial func(ctx context.Context, address string) (net.Conn, error)
+	// RelayDial connects to an upstream for a peer, for whose calls it waits for room first
+	// if wait is not zero. It returns ErrRelayRefused if this instance relays no connection
+	// to the address now. If it is nil, none is relayed.
+	RelayDial func(ctx context.Context, address string, wait time.Duration) (net.Conn, error)
+	// OnRejection is called when the upstream at an address has rejected a call that this
+	// instance admitted for a peer. It may be nil.
+	OnRejection func(address string)
 	// RelayLimit is the maximum number of connections relayed at once. Zero means
 	// defaultRelayLimit.
 	RelayLimit int
@@ -221,6 +225,20 @@
 	return append([]membership.Member(nil), n.view.Live()...)
 }
 
+// ActiveMembers returns the members that are up and not leaving.
+func (n *Node) ActiveMembers() []tables.InstanceID {
+	n.init()
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	var active []tables.InstanceID
+	for _, m := range n.view.Live() {
+		if m.State == membership.Up {
+			active = append(active, m.ID)
+		}
+	}
+	return active
+}
+
 // IsOwner reports whether this instance is responsible for a subject. While
 // views differ, more than one instance may be.
 func (n *Node) IsOwner(subject string) bool {
--- a/internal/fleet/peers/relay.go
+++ b/internal/fleet/peers/relay.go
@@ -35,6 +35,12 @@
 	Address string            `cbor:"7,keyasint"`
 	// Session is the random ID of the connection, which all of its messages carry.
 	Session uint64 `cbor:"8,keyasint"`
+	// WaitMs bounds the wait for room at the upstream, to which the peer admits the calls of
+	// all instances. It is zero for a connection that needs no room.
+	WaitMs int64 `cbor:"9,keyasint,omitempty"`
+	// Rejected reports that the upstream has rejected a call that the peer admitted. No
+	// connection is wanted then.
+	Rejected bool `cbor:"10,keyasint,omitempty"`
 }
 
 // relayOpened answers a relayOpen.
@@ -77,6 +83,8 @@
 	relayConnectTimeout = 250 * time.Millisecond
 	// relayOpenTimeout bounds the time until a peer has connected.
 	relayOpenTimeout = 350 * time.Millisecond
+	// maxRelayWait bounds the wait for room at an upstream.
+	maxRelayWait = 10 * time.Second
 	// defaultRelayLimit is the number of connections that an instance relays at once
 	// if Node.RelayLimit is zero.
 	defaultRelayLimit = 1024
@@ -114,8 +122,28 @@
 // only. The error is links.ErrUnreachable if the peer could not reach the upstream.
 // With any error, the upstream has received nothing.
 func (n *Node) DialThrough(ctx context.Context, id tables.InstanceID, address string) (net.Conn, error) {
+	return n.DialThroughOwner(ctx, id, address, 0)
+}
+
+// DialThroughOwner is like DialThrough, but the peer first waits for room for a call to the
+// upstream. It returns ErrRelayRefused if there is none in that time.
+func (n *Node) DialThroughOwner(ctx context.Context, id tables.InstanceID, address string, wait time.Duration) (net.Conn, error) {
+	return n.openRelay(ctx, id, relayOpen{Address: address, WaitMs: wait.Milliseconds()})
+}
+
+// ReportRejection tells the instance that admitted a call that the upstream has rejected it.
+func (n *Node) ReportRejection(ctx context.Context, id tables.InstanceID, address string) {
+	conn, err := n.openRelay(ctx, id, relayOpen{Address: address, Rejected: true})
+	if err == nil {
+		// The peer's build ignores the report and has connected.
+		_ = conn.Close()
+	}
+}
+
+// openRelay sends a request for a relayed connection to a peer, and returns the connection.
+func (n *Node) openRelay(ctx context.Context, id tables.InstanceID, request relayOpen) (net.Conn, error) {
 	n.init()
-	ctx, cancel := context.WithTimeout(ctx, relayOpenTimeout)
+	ctx, cancel := context.WithTimeout(ctx, relayOpenTimeout+time.Duration(request.WaitMs)*time.Millisecond)
 	defer cancel()
 	n.mutex.Lock()
 	peer, ok := n.view.Get(id)
@@ -129,12 +157,10 @@
 	}
 	c := &relayConn{raw: raw, conn: drpcconn.New(countingConn{Conn: raw, counters: &n.counters}), encoding: n.encoding(), session: newSession()}
 	stop := context.AfterFunc(ctx, func() { _ = raw.Close() })
-	err = c.open(context.WithoutCancel(ctx), &relayOpen{
-		Protocol: protocolVersion,
-		From:     n.Self.ID, Epoch: n.Self.Epoch, Sequence: n.relaySequence.Add(1),
-		To: peer.ID, ToEpoch: peer.Epoch,
-		Address: address, Session: c.session,
-	})
+	request.Protocol, request.Session = protocolVersion, c.session
+	request.From, request.Epoch, request.Sequence = n.Self.ID, n.Self.Epoch, n.relaySequence.Add(1)
+	request.To, request.ToEpoch = peer.ID, peer.Epoch
+	err = c.open(context.WithoutCancel(ctx), &request)
 	if !stop() && err == nil {
 		err = ctx.Err()
 	}
@@ -265,7 +291,13 @@
 	if err := n.acceptRelay(&request); err != nil {
 		return err
 	}
-	upstream, status := n.connectForPeer(stream.Context(), request.Address)
+	if request.Rejected {
+		if n.OnRejection != nil {
+			n.OnRejection(request.Address)
+		}
+		return trace.Wrap(stream.MsgSend(&relayOpened{Session: request.Session, Status: relayRefused}, encoding))
+	}
+	upstream, status := n.connectForPeer(stream.Context(), request.Address, time.Duration(request.WaitMs)*time.Millisecond)
 	if upstream != nil {
 		defer func() { _ = upstream.Close() }()
 		defer n.relays.Add(-1)
@@ -310,7 +342,7 @@
 
 // connectForPeer connects to an upstream and counts the relay. It returns nil if
 // there is no connection.
-func (n *Node) connectForPeer(ctx context.Context, address string) (net.Conn, relayStatus) {
+func (n *Node) connectForPeer(ctx context.Context, address string, wait time.Duration) (net.Conn, relayStatus) {
 	limit := int64(n.RelayLimit)
 	if limit <= 0 {
 		limit = defaultRelayLimit
@@ -322,9 +354,10 @@
 		n.relays.Add(-1)
 		return nil, relayRefused
 	}
-	ctx, cancel := context.WithTimeout(ctx, relayConnectTimeout)
+	wait = min(max(wait, 0), maxRelayWait)
+	ctx, cancel := context.WithTimeout(ctx, relayConnectTimeout+wait)
 	defer cancel()
-	conn, err := n.RelayDial(ctx, address)
+	conn, err := n.RelayDial(ctx, address, wait)
 	if err == nil {
 		return conn, relayConnected
 	}
--- a/internal/instance/entry/entry.go
+++ b/internal/instance/entry/entry.go
@@ -124,14 +124,16 @@
 	i.initCaches()
 	i.seeds.Store(&s.SeedPeers)
 	i.node = i.newNode(i.started)
-	i.dialer = uplinks.NewDialer(uplinks.Options{Node: i.node, Links: i.dispatcher.Links(), HasUpstream: i.dispatcher.HasUpstream, MemoryMB: s.Shared.MemoryMB, Log: i.log})
+	i.dialer = uplinks.NewDialer(uplinks.Options{Node: i.node, Links: i.dispatcher.Links(), HasUpstream: i.dispatcher.HasUpstream, AcquireRoom: i.dispatcher.RoomFor, MemoryMB: s.Shared.MemoryMB, Log: i.log})
+	i.node.OnRejection = func(address string) { i.dispatcher.RecordRejection(time.Now(), address) }
 	i.ingress = &ingress.Server{
-		Dispatcher:     i.dispatcher,
-		UpstreamClient: forward.New(i.dialer.DialContext),
-		Metrics:        i.metrics,
-		Log:            i.log,
-		SinceShutdown:  i.sinceShutdown,
-		AcceptWindow:   time.Duration(acceptWindowShare * float64(s.Shared.StopGrace.Duration())),
+		Dispatcher:      i.dispatcher,
+		UpstreamClient:  forward.New(i.dialer.DialContext),
+		ReportRejection: i.dialer.ReportRejection,
+		Metrics:         i.metrics,
+		Log:             i.log,
+		SinceShutdown:   i.sinceShutdown,
+		AcceptWindow:    time.Duration(acceptWindowShare * float64(s.Shared.StopGrace.Duration())),
 	}
 	return i
 }
--- a/internal/instance/entry/tasks.go
+++ b/internal/instance/entry/tasks.go
@@ -168,6 +168,7 @@
 func (i *Instance) applyTotals(now time.Time, totals, reported aggregates.Values) {
 	position, count := i.node.FleetPosition()
 	i.dispatcher.SetFleetPosition(now, position, count)
+	i.dispatcher.SetMembers(i.settings.Instance, i.node.ActiveMembers())
 	for _, v := range i.dispatcher.ApplyTotals(now, totals, reported) {
 		events.VersionJudgedBad.Log(i.log,
 			zap.String("service", string(v.Service)), zap.String("version", string(v.Version)),
--- a/internal/instance/uplinks/uplinks.go
+++ b/internal/instance/uplinks/uplinks.go
@@ -6,11 +6,13 @@
 	"context"
 	"errors"
 	"net"
+	"time"
 
 	"go.uber.org/zap"
 
 	"mimosayard/internal/backend/connect"
 	"mimosayard/internal/core/links"
+	"mimosayard/internal/core/tables"
 	"mimosayard/internal/fleet/peers"
 	"mimosayard/internal/telemetry/events"
 )
@@ -23,6 +25,9 @@
 	// HasUpstream reports whether the address is that of an upstream. Connections to
 	// other addresses are not relayed.
 	HasUpstream func(address string) bool
+	// AcquireRoom asks for room at an upstream whose calls this instance admits. It is nil
+	// where no calls are admitted.
+	AcquireRoom func(address string, wait time.Duration, onOpen func()) (release func())
 	// OnChange is called when the own links are lost and when they are back. It may be
 	// nil.
 	OnChange func()
@@ -44,7 +49,17 @@
 		Links:      o.Links,
 		Candidates: o.Node.RelayPeers,
 		Through:    o.Node.DialThrough,
-		Peers:      links.Peers{Home: o.Node.Self.DataCenter},
+
+		AcquireRoom:   o.AcquireRoom,
+		SendRejection: o.Node.ReportRejection,
+		Peers:         links.Peers{Home: o.Node.Self.DataCenter},
+	}
+	dialer.ThroughOwner = func(ctx context.Context, owner tables.InstanceID, address string, wait time.Duration) (net.Conn, error) {
+		conn, err := o.Node.DialThroughOwner(ctx, owner, address, wait)
+		if errors.Is(err, peers.ErrRelayRefused) {
+			return nil, connect.ErrNoRoom
+		}
+		return conn, err
 	}
 	o.Links.OnChange = func(lost bool, failing int) {
 		if lost {
@@ -56,12 +71,18 @@
 			o.OnChange()
 		}
 	}
-	o.Node.RelayDial = func(ctx context.Context, address string) (net.Conn, error) {
+	o.Node.RelayDial = func(ctx context.Context, address string, wait time.Duration) (net.Conn, error) {
 		if !o.HasUpstream(address) {
 			return nil, peers.ErrRelayRefused
 		}
-		conn, err := dialer.DialForPeer(ctx, address)
-		if errors.Is(err, connect.ErrOwnLinkLost) {
+		dial := dialer.DialForPeer
+		if wait > 0 {
+			dial = func(ctx context.Context, address string) (net.Conn, error) {
+				return dialer.DialAdmitted(ctx, address, wait)
+			}
+		}
+		conn, err := dial(ctx, address)
+		if errors.Is(err, connect.ErrOwnLinkLost) || errors.Is(err, connect.ErrNoRoom) {
 			return nil, peers.ErrRelayRefused
 		}
 		return conn, err
