Remember that an upstream is brittle until it says otherwise

An upstream that tolerates few rejections and that nobody had heard of for three seconds, as after a fall, was called without a limit again; so was each new life of one.

Cause: the word was forgotten with its message and with the life that said it, though it is about the service's present state. It now holds until an answer comes without it, 30 s at most, and a new life inherits it from the other upstreams of its service until it answers.

--- a/internal/core/dispatch/dispatch.go
+++ b/internal/core/dispatch/dispatch.go
@@ -241,16 +241,21 @@
 		s.majority = ""
 		s.partition = partition{}
 	}
+	var born []*placement.Upstream
 	for _, entry := range entries {
 		u := known[entry.ID]
 		if u == nil || !sameIncarnation(u.Upstream, entry) {
 			u = &placement.Upstream{}
+			born = append(born, u)
 		}
 		delete(known, entry.ID)
 		u.SetEntry(now, entry)
 		s := d.service(entry.Service)
 		s.upstreams = append(s.upstreams, u)
 	}
+	for _, u := range born {
+		d.inheritTolerance(now, d.service(u.Service), u)
+	}
 	for _, u := range known {
 		delete(d.unresolved, u)
 		u.Ready = false
--- a/internal/core/dispatch/room.go
+++ b/internal/core/dispatch/room.go
@@ -13,12 +13,21 @@
 const rejectionMargin = 0.9
 
 // limitRejections sets the limit on an upstream's rejections from what it has said to
-// this instance lately, or else to others.
+// this instance lately, or else to others, or else before.
 func (d *Dispatcher) limitRejections(now time.Time, u *placement.Upstream) {
 	limit := u.StatedRejections(now)
 	if count := d.totals[statementKey(valueStatements, u)]; limit == 0 && count > 0 {
 		limit = int(d.totals[statementKey(valueRejections, u)] / count)
 	}
+	if limit > 0 {
+		u.ConfirmTolerance(now, limit)
+	}
+	d.applyTolerance(now, u)
+}
+
+// applyTolerance limits the calls to an upstream by the rejections that it tolerates.
+func (d *Dispatcher) applyTolerance(now time.Time, u *placement.Upstream) {
+	limit := u.Tolerance(now)
 	s := d.service(u.Service)
 	switch {
 	case limit <= 0:
@@ -31,6 +40,18 @@
 	}
 }
 
+// inheritTolerance makes the new life of an upstream tolerate what the service's other
+// upstreams do, until it answers.
+func (d *Dispatcher) inheritTolerance(now time.Time, s *service, u *placement.Upstream) {
+	for _, other := range s.upstreams {
+		if rejections := other.Tolerance(now); rejections > 0 {
+			u.ConfirmTolerance(now, rejections)
+			d.applyTolerance(now, u)
+			return
+		}
+	}
+}
+
 // needsOwner reports whether one instance has to admit the calls of all to an upstream,
 // given how many rejections in a second it tolerates. A plain service may reject a call until
 // it answers it, so all calls in flight would be within the rejections that it tolerates. An
--- a/internal/core/dispatch/task.go
+++ b/internal/core/dispatch/task.go
@@ -323,6 +323,9 @@
 	}
 	if state.MaxRejections > 0 || call.upstream.RejectionsLimited() {
 		call.upstream.StateRejections(now, state.MaxRejections)
+		if state.MaxRejections == 0 {
+			call.upstream.ConfirmTolerance(now, 0)
+		}
 		d.limitRejections(now, call.upstream)
 	}
 	changed := call.upstream.Limit.RecordAnswer(now, state.MaxRate, state.NamesLimit)
--- a/internal/core/placement/rejections.go
+++ b/internal/core/placement/rejections.go
@@ -21,6 +21,11 @@
 	// tolerates, zero if it has not or tolerates any. statedAt is when it said so.
 	stated   int
 	statedAt time.Time
+	// tolerated is what this instance or another was last told, or what the service's other
+	// upstreams tolerate if none was told by this life. It is zero for any number.
+	// toleratedAt is when that was last confirmed.
+	tolerated   int
+	toleratedAt time.Time
 	// rejected are the times of the rejections in the last rejectionWindow, oldest
 	// first.
 	rejected []time.Time
@@ -37,6 +42,9 @@
 	// statementTTL is how long an instance tells the fleet what an upstream has said
 	// of itself.
 	statementTTL = 3 * time.Second
+	// toleranceTTL is how long an upstream that no one has heard of since counts as
+	// tolerating what it last said. One that is down or full does not answer.
+	toleranceTTL = 30 * time.Second
 )
 
 // StateRejections records how many rejections in a second the upstream says it tolerates,
@@ -54,6 +62,21 @@
 	return u.rejections.stated
 }
 
+// ConfirmTolerance records how many rejections in a second the upstream tolerates, as far as
+// the fleet knows.
+func (u *Upstream) ConfirmTolerance(now time.Time, rejections int) {
+	u.rejections.tolerated, u.rejections.toleratedAt = rejections, now
+}
+
+// Tolerance returns how many rejections in a second the upstream tolerates, zero for any number.
+// What was last known holds until the upstream says otherwise.
+func (u *Upstream) Tolerance(now time.Time) int {
+	if now.Sub(u.rejections.toleratedAt) > toleranceTTL {
+		return 0
+	}
+	return u.rejections.tolerated
+}
+
 // LimitRejections sets how many of this instance's calls the upstream may have to reject
 // in a second.
 func (u *Upstream) LimitRejections(share int) {
