Compare the ID of a refusal before it is believed

At the product's own interface an answer of 500 and more of another request was passed on.

An answer with the ID of another request now says nothing of this one: it may have run. An answer without an ID is believed as before; each call has a connection of its own, so no earlier refusal of the same request can wait on it.

--- a/internal/backend/upstreams/plain.go
+++ b/internal/backend/upstreams/plain.go
@@ -76,7 +76,7 @@
 		return PlainResponse{}, c.classifyError(ctx, a, call.Address, err)
 	}
 	defer func() { _ = response.Body.Close() }()
-	if response.Header.Get(headerRequestID) != call.RequestID && response.StatusCode < http.StatusInternalServerError {
+	if id := response.Header.Get(headerRequestID); id != call.RequestID && (id != "" || response.StatusCode < http.StatusInternalServerError) {
 		return PlainResponse{}, faults.New(faults.AnswerMismatched, "")
 	}
 	call.OnLimit.report(response.Header, call.RequestID)
--- a/internal/backend/upstreams/upstreams_test.go
+++ b/internal/backend/upstreams/upstreams_test.go
@@ -112,6 +112,16 @@
 		_, err := call(t, respond(t, http.StatusOK, "other", "body"))
 		assertKind(t, err, faults.AnswerMismatched, faults.RunUnknown)
 	})
+	t.Run("refusal of another request", func(t *testing.T) {
+		_, err := call(t, respond(t, http.StatusServiceUnavailable, "other", "body"))
+		assertKind(t, err, faults.AnswerMismatched, faults.RunUnknown)
+	})
+	t.Run("refusal without an ID", func(t *testing.T) {
+		is := is.New(t)
+		answer, err := call(t, respond(t, http.StatusServiceUnavailable, "", "body"))
+		is.NoErr(err)
+		is.Equal(answer.Status, http.StatusServiceUnavailable)
+	})
 	t.Run("call canceled before it connects is not run", func(t *testing.T) {
 		ctx, cancel := context.WithCancelCause(t.Context())
 		cancel(errors.New("gone"))
--- a/internal/edge/ingress/calls.go
+++ b/internal/edge/ingress/calls.go
@@ -138,6 +138,9 @@
 	meta := platform.ParseResponse(response.Status, response.Header)
 	x.recordUpstreamState(call, meta)
 	switch {
+	case meta.ID != "" && meta.ID != x.metadata.ID:
+		// It may be an earlier refusal, while the upstream runs this request.
+		return dispatch.Mismatched, false, faults.New(faults.AnswerMismatched, "")
 	case response.Status == http.StatusMisdirectedRequest:
 		return dispatch.AddressReused, false, faults.NotRun(faults.NoUpstream, "the address belongs to another upstream")
 	case meta.NotExecuted:
