End a stream in which the head of an answer follows

An answer of the next upstream that is no stream was already dropped here, whatever its status; shown now for nine statuses. But where a stream ends with its connection, a second answer behind it was passed on: its head has lines, so it looked like an event without an ID.

A line that belongs to the head of an answer now ends the call as one that is not for this request, and the stream is resumed elsewhere or looks broken. The ID of an event is also looked for at the beginning of a line only, not of each buffer.

--- a/internal/edge/ingress/streams.go
+++ b/internal/edge/ingress/streams.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"io"
+	"slices"
 	"strconv"
 	"time"
 
@@ -29,6 +30,7 @@
 var (
 	errEventTooLarge = errors.New("event exceeds the size limit")
 	errPartialEvent  = errors.New("stream ended within an event")
+	errAnswerHead    = errors.New("the head of an answer follows in the stream")
 )
 
 // relayStream relays a stream event by event. A partial event of an upstream
@@ -50,6 +52,9 @@
 			x.writeStreamHeader(response)
 			return dispatch.Served, true, nil
 		}
+		if errors.Is(err, errAnswerHead) {
+			return dispatch.Mismatched, false, faults.New(faults.AnswerMismatched, err.Error())
+		}
 		if err != nil {
 			return x.classifyCallError(ctx, err)
 		}
@@ -86,9 +91,13 @@
 // incomplete.
 func readEvent(reader *bufio.Reader) (event, error) {
 	var e event
+	lineStart := 0
 	for {
-		line, err := reader.ReadSlice('\n')
-		e.raw = append(e.raw, line...)
+		part, err := reader.ReadSlice('\n')
+		e.raw = append(e.raw, part...)
+		if (err == nil || errors.Is(err, io.EOF)) && isHeadLine(e.raw[lineStart:]) {
+			return event{}, errAnswerHead
+		}
 		switch {
 		case errors.Is(err, bufio.ErrBufferFull) && len(e.raw) < maxEventBytes:
 			continue
@@ -99,7 +108,8 @@
 		case err != nil:
 			return event{}, err
 		}
-		content := bytes.TrimRight(line, "\r\n")
+		content := bytes.TrimRight(e.raw[lineStart:], "\r\n")
+		lineStart = len(e.raw)
 		if id, ok := bytes.CutPrefix(content, []byte("id:")); ok {
 			e.id = string(bytes.TrimSpace(id))
 		}
@@ -109,6 +119,17 @@
 	}
 }
 
+// headFields are fields of the head of every answer, which no event has.
+var headFields = [][]byte{[]byte("http/1."), []byte("content-length:"), []byte("transfer-encoding:"), []byte("connection:"), []byte("content-type:")}
+
+// isHeadLine reports whether a line belongs to the head of an answer. A faulty upstream writes
+// another answer behind a stream that ends with its connection.
+func isHeadLine(line []byte) bool {
+	return slices.ContainsFunc(headFields, func(field []byte) bool {
+		return len(line) >= len(field) && bytes.EqualFold(line[:len(field)], field)
+	})
+}
+
 // isNextEvent reports whether an event with the ID may follow the last one. IDs
 // that are numbers must be consecutive, other IDs must differ. An event without
 // an ID may always follow.
--- /dev/null
+++ b/internal/edge/ingress/streams_test.go
@@ -0,0 +1,74 @@
+package ingress
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// TestErrorsDoNotReachABegunStream guards against callers that get an error of the next
+// upstream, or the head of an answer, in the middle of a stream that broke off, and against
+// a stream that then looks complete.
+func TestErrorsDoNotReachABegunStream(t *testing.T) {
+	const head = "HTTP/1.1 500 Internal Server Error\r\nX-Attempt-Id: id-1\r\nContent-Length: 6\r\n\r\nfailed"
+	breakOff := func(w http.ResponseWriter, r *http.Request) {
+		startEvents(w, r, "x")
+		sendEvents(w, 1, 3)
+		panic(http.ErrAbortHandler)
+	}
+	failures := map[string]http.HandlerFunc{}
+	for _, status := range []int{200, 204, 301, 400, 404, 421, 429, 500, 503} {
+		failures[strconv.Itoa(status)] = func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("X-Attempt-Id", r.Header.Get("X-Attempt-Id"))
+			w.WriteHeader(status)
+			if status != http.StatusNoContent {
+				_, _ = w.Write([]byte("failed"))
+			}
+		}
+	}
+	for name, after := range map[string]string{
+		"a head at the end":            "",
+		"a head after the next event":  "id: 4\ndata: piece 4\n\n",
+		"a head within the next event": "id: 4\ndata: pie",
+	} {
+		failures[name] = func(w http.ResponseWriter, r *http.Request) {
+			conn, _, _ := http.NewResponseController(w).Hijack()
+			defer func() { _ = conn.Close() }()
+			writeUnframed(conn, r, after+head)
+		}
+	}
+	for name, failure := range failures {
+		for _, first := range []string{"first", "second"} {
+			t.Run(name+", "+first, func(t *testing.T) {
+				is := is.New(t)
+				ti := newTestIngress(t, breakOff, failure)
+				if first == "second" {
+					ti = newTestIngress(t, failure, breakOff)
+				}
+				for range 4 {
+					response, body, err := ti.get(t, "/stream/x")
+					if response == nil || response.StatusCode != http.StatusOK || !strings.HasPrefix(body, "id: 1") {
+						continue
+					}
+					is.True(err != nil) // It looks complete.
+					is.True(!strings.Contains(body, "failed"))
+					is.True(!strings.Contains(body, "HTTP/1.1"))
+					for n := range strings.Count(body, "id: ") {
+						is.True(strings.Contains(body, fmt.Sprintf("id: %d\ndata: piece %d\n\n", n+1, n+1)))
+					}
+				}
+			})
+		}
+	}
+}
+
+// writeUnframed writes a stream of which the end of the connection is the end.
+func writeUnframed(conn net.Conn, r *http.Request, body string) {
+	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n%s",
+		r.Header.Get("X-Attempt-Id"), body)
+}
