Log what brittle upstreams tolerate and who admits the calls to them

Event 421 tells, for each instance, the number of rejections that an upstream tolerates and the instance that admits the calls to it, so that a refusal 'not admitted' leads to the owner whose queue was too long.

--- a/internal/core/dispatch/brittle_test.go
+++ b/internal/core/dispatch/brittle_test.go
@@ -196,8 +196,11 @@
 	call := mustNextCall(t, d, task)
 	d.RecordUpstreamState(now, call, UpstreamState{MaxRejections: 20})
 	is.True(u.RejectionsLimited())
+	is.Equal(d.ToleranceChanges(), []ToleranceChange{{Upstream: u.ID, Rejections: 20}})
 	d.RecordUpstreamState(now.Add(time.Second), call, UpstreamState{})
 	is.True(!u.RejectionsLimited())
+	is.Equal(d.ToleranceChanges(), []ToleranceChange{{Upstream: u.ID}})
+	is.Equal(len(d.ToleranceChanges()), 0)
 }
 
 // TestFullUpstreamsAreNotWaitedForInVain guards against requests that wait for room that
--- a/internal/core/dispatch/dispatch.go
+++ b/internal/core/dispatch/dispatch.go
@@ -46,7 +46,10 @@
 	owners    pacing.Owners
 	// limitChanges are the changes that LimitChanges has not returned yet.
 	limitChanges pacing.Changes
-	sessions     sessionTable
+	// tolerances are what upstreams tolerate, toleranceChanges the changes that
+	// ToleranceChanges has not returned yet.
+	tolerances, toleranceChanges map[tables.UpstreamID]ToleranceChange
+	sessions                     sessionTable
 	// totals are the fleet's sums as of the last ApplyTotals.
 	totals     aggregates.Values
 	quarantine quarantine.Table
@@ -109,7 +112,11 @@
 		links:      &links.Table{},
 		services:   map[tables.ServiceID]*service{},
 		instances:  pacing.MinInstances,
-		sessions:   sessionTable{versions: map[sessionID]sessionEntry{}},
+
+		tolerances:       map[tables.UpstreamID]ToleranceChange{},
+		toleranceChanges: map[tables.UpstreamID]ToleranceChange{},
+
+		sessions: sessionTable{versions: map[sessionID]sessionEntry{}},
 	}
 }
 
@@ -258,6 +265,7 @@
 	}
 	for _, u := range known {
 		delete(d.unresolved, u)
+		delete(d.tolerances, u.ID)
 		u.Ready = false
 		u.SetEntry(now, u.Upstream)
 		if u.Draining(now) {
--- a/internal/core/dispatch/fleet_test.go
+++ b/internal/core/dispatch/fleet_test.go
@@ -108,7 +108,7 @@
 	crashTime   = 2 * time.Second
 	// settleTime is the time after which the fleet must know that an upstream is brittle, and
 	// a new instance too.
-	settleTime = 3 * time.Second
+	settleTime  = 3 * time.Second
 	loadSeconds = 8
 )
 
--- a/internal/core/dispatch/room.go
+++ b/internal/core/dispatch/room.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"mimosayard/internal/core/pacing"
@@ -12,6 +14,27 @@
 // Instances may disagree for a moment on the size of the fleet.
 const rejectionMargin = 0.9
 
+// A ToleranceChange is a change of the number of rejections that an upstream tolerates, or of the
+// instance that admits the calls to it.
+type ToleranceChange struct {
+	Upstream tables.UpstreamID
+	// Rejections is the number in a second, zero for any number.
+	Rejections int
+	// Admitted is true if one instance admits the calls, Owner which one, empty for this
+	// one.
+	Admitted bool
+	Owner    tables.InstanceID
+}
+
+// ToleranceChanges returns the latest change of each upstream since the last call.
+func (d *Dispatcher) ToleranceChanges() []ToleranceChange {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	changes := slices.Collect(maps.Values(d.toleranceChanges))
+	clear(d.toleranceChanges)
+	return changes
+}
+
 // limitRejections sets the limit on an upstream's rejections from what it has said to
 // this instance lately, or else to others, or else before.
 func (d *Dispatcher) limitRejections(now time.Time, u *placement.Upstream) {
@@ -29,6 +52,7 @@
 func (d *Dispatcher) applyTolerance(now time.Time, u *placement.Upstream) {
 	limit := u.Tolerance(now)
 	s := d.service(u.Service)
+	defer d.noteTolerance(u, limit)
 	switch {
 	case limit <= 0:
 		u.AllowRejections()
@@ -40,6 +64,21 @@
 	}
 }
 
+// noteTolerance records a change for ToleranceChanges.
+func (d *Dispatcher) noteTolerance(u *placement.Upstream, limit int) {
+	change := ToleranceChange{Upstream: u.ID, Rejections: limit}
+	change.Owner, change.Admitted = u.Owner()
+	if change == d.tolerances[u.ID] || limit == 0 && d.tolerances[u.ID].Rejections == 0 {
+		return
+	}
+	if limit == 0 {
+		delete(d.tolerances, u.ID)
+	} else {
+		d.tolerances[u.ID] = change
+	}
+	d.toleranceChanges[u.ID] = change
+}
+
 // inheritTolerance makes the new life of an upstream tolerate what the service's other
 // upstreams do, until it answers.
 func (d *Dispatcher) inheritTolerance(now time.Time, s *service, u *placement.Upstream) {
@@ -119,7 +158,7 @@
 	defer d.mutex.Unlock()
 	for _, s := range d.services {
 		for _, u := range s.upstreams {
-			if u.Address == address && u.Usable() {
+			if u.Address == address && (u.Usable() || u.Draining(now)) {
 				return u.Room.Acquire(now, u.Slots, wait, onOpen)
 			}
 		}
--- a/internal/instance/entry/tasks.go
+++ b/internal/instance/entry/tasks.go
@@ -177,6 +177,10 @@
 	}
 	i.logQuarantineChanges()
 	events.LogLimits(i.log, i.dispatcher.LimitChanges())
+	for _, change := range i.dispatcher.ToleranceChanges() {
+		events.UpstreamBrittle.Log(i.log, zap.String("upstream", string(change.Upstream)), zap.Int("rejections", change.Rejections),
+			zap.Bool("admitted", change.Admitted), zap.String("owner", string(change.Owner)))
+	}
 }
 
 // logQuarantineChanges logs the prompt parts that were quarantined or released, and
--- a/internal/telemetry/events/events.go
+++ b/internal/telemetry/events/events.go
@@ -73,6 +73,7 @@
 // Events of the limits that upstreams name.
 var (
 	UpstreamLimited = Event{420, zap.InfoLevel, "limit that an upstream names has changed", "None; if callers are refused as overloaded, look at the upstream for why it limits its calls."}
+	UpstreamBrittle = Event{421, zap.InfoLevel, "number of rejections that an upstream tolerates has changed", "None; if callers are refused as overloaded, look at the upstream for why it tolerates few."}
 )
 
 // Events of versions and their rollouts.
@@ -110,7 +111,7 @@
 		ConfigInForce, ConfigAccepted, ConfigRejected, ConfigUnreadable,
 		PlatformUnavailable, PlatformAvailable, RaterUnavailable, WatchHistoryExpired, ObjectsChanged, ObjectUndecodable, RolloutStatusWritten, RolloutStatusNotWritten, StoreRestored,
 		PeerDown, BillCopiesHeld, PeerBillsSettled, BillsPending, BillLimitReached, BillNotCopied,
-		LinksLost, LinksBack, UpstreamLimited,
+		LinksLost, LinksBack, UpstreamLimited, UpstreamBrittle,
 		RolloutAdvanced, VersionWithdrawn, VersionJudgedBad, PartQuarantined, PartReleased, PartNotStored,
 		OrderAcknowledged, OrdersFailed,
 		RequestFailed, RequestServed, IdempotencyKeyNotReleased,
