--- a/internal/core/dispatch/brittle_test.go
+++ b/internal/core/dispatch/brittle_test.go
@@ -134,7 +134,6 @@
 		t.Run(fmt.Sprintf("%d instances, %d upstreams, limit %d", size.instances, size.upstreams, size.limit), func(t *testing.T) {
 			is := is.New(t)
 			d := newDispatcher(newUpstreams("v1", size.upstreams)...)
-			d.SetCatalog(&catalog.Catalog{Version: 1, Services: []catalog.Service{{Name: "llm", Engine: &catalog.Engine{}}}})
 			s := d.services["llm"]
 			sums := map[tables.UpstreamID]int{}
 			if d.SetFleetPosition(now, 0, size.instances); d.needsOwner(s, size.limit) {
@@ -219,7 +218,6 @@
 func TestEachInstanceMayCallBrittleUpstreamsAfterALoss(t *testing.T) {
 	const before, after, upstreams, limit = 75, 38, 25, 4
 	d := newDispatcher(newUpstreams("v1", upstreams)...)
-	d.SetCatalog(&catalog.Catalog{Version: 1, Services: []catalog.Service{{Name: "llm", Engine: &catalog.Engine{}}}})
 	s := d.services["llm"]
 	for n := range after {
 		d.SetFleetPosition(now, n, before)
