Wait for the end of earlier relays in the test of a stopping peer

TestStoppingPeerFinishesRelays failed once in a run of all tests, and then in 1 of 60 plays beside three others: two relays where one was expected. The stream before had been read to its end by the caller, and the peer had not yet closed its connection to the upstream.

--- a/internal/instance/entry/links_test.go
+++ b/internal/instance/entry/links_test.go
@@ -265,6 +265,7 @@
 	f.await("streams go through the peer", func() bool {
 		return f.status(0, "GET", "/stream/x") == http.StatusOK && f.instances[0].dispatcher.Links().AllLost()
 	})
+	f.await("those streams have ended", func() bool { return f.instances[1].node.Relays() == 0 })
 	response, err := f.send(0, "GET", "/stream/x")
 	is.NoErr(err)
 	defer response.Body.Close()
