Keep upstreams that left out after a restore of the store

The cache of upstreams remembers the states of entries that were changed or removed in this process's life. Where the restored store shows one of these, it keeps what it knew until the upstream writes its entry again.

--- a/internal/instance/entry/restore_test.go
+++ b/internal/instance/entry/restore_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"fmt"
 	"net/http"
 	"strings"
 	"testing"
@@ -80,6 +81,67 @@
 	}
 }
 
+// TestUpstreamThatLeftGetsNothingAfterARestore guards against calls to an upstream that has
+// left and is listed again since the store was restored from a copy older than that.
+func TestUpstreamThatLeftGetsNothingAfterARestore(t *testing.T) {
+	for name, leave := range map[string]func(f *testFleet){
+		"draining": func(f *testFleet) { f.putUpstream(0, "draining") },
+		"removed":  func(f *testFleet) { f.removeUpstream(0) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newTestFleet(t, 2, 2)
+			f.administer(http.MethodPut, "backup")
+			leave(f)
+			f.await("the upstream has left", func() bool {
+				for _, i := range f.instances {
+					if i.dispatcher.UsableUpstreamCount() != 1 {
+						return false
+					}
+				}
+				return true
+			})
+			restored := time.Now()
+			f.administer(http.MethodPost, "restore")
+			f.await("the store's state is known", func() bool {
+				for _, i := range f.instances {
+					if version, _ := i.upstreams.DocumentVersion(); version.Era < 2 {
+						return false
+					}
+				}
+				return true
+			})
+			for n := range 100 {
+				f.status(n%len(f.instances), http.MethodGet, "/safe/x")
+			}
+			is.New(t).Equal(f.standIns[0].ArrivalsSince(restored), 0)
+			f.putUpstream(0, "ready")
+			f.await("the upstream is used once it has registered again", func() bool {
+				f.allServe("/safe/x")
+				return f.standIns[0].ArrivalsSince(restored) > 0
+			})
+		})
+	}
+}
+
+// putUpstream registers an upstream anew.
+func (f *testFleet) putUpstream(index int, state string) {
+	f.t.Helper()
+	f.putObject("servers", fmt.Sprintf("i-%d", index), fmt.Sprintf(`{"service":"s","address":%q,"zone":"dc-0","version":"v1","slots":64,"state":%q,"born":7,"sequence":2}`,
+		f.upstreams[index].Listener.Addr(), state))
+}
+
+// removeUpstream removes the entry of an upstream.
+func (f *testFleet) removeUpstream(index int) {
+	f.t.Helper()
+	is := is.New(f.t)
+	request, err := http.NewRequestWithContext(f.t.Context(), http.MethodDelete, f.store.URL+fmt.Sprintf("/objects/servers/i-%d", index), http.NoBody)
+	is.NoErr(err)
+	response, err := http.DefaultClient.Do(request)
+	is.NoErr(err)
+	is.NoErr(response.Body.Close())
+}
+
 // allServe reports whether all instances serve a path.
 func (f *testFleet) allServe(path string) bool {
 	for n := range f.instances {
--- a/internal/instance/entry/tasks.go
+++ b/internal/instance/entry/tasks.go
@@ -63,6 +63,7 @@
 	i.upstreams.BatchDelay = upstreamBatchDelay
 	i.upstreams.FollowerBatchDelay = time.Duration(followerBatchShare * float64(i.settings.Shared.UpstreamDrain()))
 	i.upstreams.RenewalFactor = upstreamRenewalFactor
+	i.upstreams.IgnoreCopies = true
 	i.rollouts = i.newCache(platform.KindRollouts, i.applyRollouts)
 	i.rollouts.RenewalFactor = rolloutRenewalFactor
 }
--- a/internal/instance/storecache/model_test.go
+++ b/internal/instance/storecache/model_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"testing"
@@ -45,6 +46,41 @@
 	})
 }
 
+// TestReplacedStatesDoNotComeBack guards against objects that go back to a state from before,
+// or come back after they were removed, since the store was restored from a copy.
+func TestReplacedStatesDoNotComeBack(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		history := randomHistory(t)
+		published := make(chan []platform.Object, 64)
+		c := newCache(nil, published)
+		c.IgnoreCopies = true
+		var before map[string]platform.Object
+		var gone objectHistory
+		for index := 1; index < len(history); index += rapid.IntRange(0, 2).Draw(t, "pass") {
+			applyMoment(t, c, history[index], before != nil)
+			for len(published) > 0 {
+				<-published
+			}
+			era := c.version.Era
+			for name, object := range before {
+				if stateOf(c.objects[name]) != stateOf(object) && era == uint64(object.Era) {
+					gone.add(object)
+				}
+			}
+			for name, object := range c.objects {
+				if gone.has(object) {
+					t.Fatalf("%s is %v again", name, object)
+				}
+			}
+			before = maps.Clone(c.objects)
+			for name, object := range before {
+				object.Era = platform.Era(era)
+				before[name] = object
+			}
+		}
+	})
+}
+
 // applyMoment applies a moment to the cache as a list, a peer's snapshot or
 // changes, and reports whether it did. A watch returns all changes of an era up to a
 // revision, possibly some of them again, and none before a list of that era.
@@ -87,7 +123,7 @@
 // first is before the first change.
 func randomHistory(t *rapid.T) []moment {
 	history := []moment{{position: platform.Position{Era: 1}}}
-	for n := range rapid.IntRange(1, 12).Draw(t, "length") {
+	for n := range rapid.IntRange(1, 20).Draw(t, "length") {
 		last := history[len(history)-1]
 		if n > 0 && rapid.IntRange(0, 4).Draw(t, "restore") == 0 {
 			restored := history[rapid.IntRange(0, len(history)-1).Draw(t, "copy")]
@@ -98,7 +134,7 @@
 		position := platform.Position{Era: last.position.Era, Revision: last.position.Revision + 1}
 		change := platform.Change{
 			Object: platform.Object{
-				Name: fmt.Sprintf("o%d", rapid.IntRange(0, 3).Draw(t, "object")), Revision: position.Revision,
+				Name: fmt.Sprintf("o%d", rapid.IntRange(0, 2).Draw(t, "object")), Revision: position.Revision,
 				Spec: json.RawMessage(fmt.Sprintf("[%d,%d]", position.Era, n)),
 			},
 			Removed: rapid.Bool().Draw(t, "removed"),
--- a/internal/instance/storecache/storecache.go
+++ b/internal/instance/storecache/storecache.go
@@ -50,6 +50,9 @@
 	// RenewalFactor multiplies the renewal interval of watches, for a kind
 	// whose changes may take effect later. Values below one mean one.
 	RenewalFactor int
+	// IgnoreCopies keeps what is known of an object whose entry in a restored store is one that
+	// was changed or removed before, until its owner writes it again.
+	IgnoreCopies bool
 	// NotifyPeers is called after a change from the store, to notify the peers
 	// at once.
 	NotifyPeers func()
@@ -61,6 +64,8 @@
 	mutex   sync.Mutex
 	objects map[string]platform.Object
 	version peers.DocumentVersion
+	// replaced are the objects that were changed or removed in this process's life.
+	replaced objectHistory
 	// firstEra is the era of the first state.
 	firstEra uint64
 	// peerPosition is the latest position of the snapshots applied from peers.
@@ -291,12 +296,16 @@
 		case change.Removed && !ok:
 			continue
 		case change.Removed:
+			c.replaced.add(current)
 			delete(c.objects, change.Object.Name)
 		case !ok && uint64(change.Object.Revision) <= c.version.Revision:
 			// A newer snapshot of a peer does not have the object, so it was
 			// removed since.
 			continue
 		default:
+			if ok && stateOf(current) != stateOf(change.Object) {
+				c.replaced.add(current)
+			}
 			c.objects[change.Object.Name] = change.Object
 		}
 		changed = true
@@ -323,9 +332,23 @@
 		events.StoreRestored.Log(c.Log, zap.String("kind", string(c.Kind)), zap.Uint64("era", version.Era),
 			zap.Uint64("revision", version.Revision), zap.Uint64("known", c.version.Revision))
 	}
+	known := c.objects
 	c.objects = make(map[string]platform.Object, len(objects))
 	for _, object := range objects {
-		c.objects[object.Name] = object
+		current, ok := known[object.Name]
+		switch {
+		case !c.IgnoreCopies || !c.replaced.has(object):
+			c.objects[object.Name] = object
+		case ok:
+			c.objects[object.Name] = current
+		}
+	}
+	if version.Era == c.version.Era {
+		for name, object := range known {
+			if stateOf(c.objects[name]) != stateOf(object) {
+				c.replaced.add(object)
+			}
+		}
 	}
 	c.version = version
 	c.version.Digest = c.digest()
--- a/internal/instance/storecache/storecache_test.go
+++ b/internal/instance/storecache/storecache_test.go
@@ -194,6 +194,26 @@
 	})
 }
 
+// TestObjectHistory guards against a history that grows without bound, or forgets its latest
+// states.
+func TestObjectHistory(t *testing.T) {
+	is := is.New(t)
+	var h objectHistory
+	state := func(n int) platform.Object {
+		return platform.Object{Name: "a", Revision: platform.Revision(n)}
+	}
+	for n := range 3 * maxHistory {
+		h.add(state(n))
+	}
+	is.Equal(len(h.states), maxHistory)
+	is.Equal(len(h.order), maxHistory)
+	for n := 2 * maxHistory; n < 3*maxHistory; n++ {
+		is.True(h.has(state(n)))
+	}
+	is.True(!h.has(state(2*maxHistory - 1)))
+	is.True(!h.has(platform.Object{Name: "b", Revision: 3*maxHistory - 1}))
+}
+
 // TestBatchDelay guards against a store call of each instance for each change of
 // a burst: while an instance waits for more changes, its peers tell it of them,
 // and its next watch begins after those.
