Keep the progress of rollouts and the quarantine over a restore of the store

A rollout whose progress was lost in a restore went back to an earlier stage, or was done again after it was completed or rolled back; quarantined parts were lost to the store.

The tracker keeps what it knows of a rollout if a store of a later era has less of it, also where the order itself is lost for a while, and writes it again. One instance writes the quarantined parts again.

--- a/internal/core/catalog/catalog.go
+++ b/internal/core/catalog/catalog.go
@@ -245,6 +245,14 @@
 	return tables.ClassID(r.Name)
 }
 
+// Before reports whether the progress is less than another one of the same rollout.
+func (p Progress) Before(other Progress) bool {
+	if p.State.Ended() || other.State.Ended() {
+		return !p.State.Ended()
+	}
+	return p.State < other.State || p.State == other.State && p.Stage < other.Stage
+}
+
 // Ended reports whether the state is final.
 func (s RolloutState) Ended() bool {
 	return s == Completed || s == RolledBack
--- a/internal/core/dispatch/evidence.go
+++ b/internal/core/dispatch/evidence.go
@@ -146,7 +146,7 @@
 	defer d.mutex.Unlock()
 	var steps []RolloutStep
 	for _, s := range d.services {
-		if !s.tracker.InProgress() {
+		if !s.tracker.InProgress() && !s.tracker.Behind() {
 			continue
 		}
 		rollout, _ := s.tracker.CurrentRollout()
--- a/internal/core/releases/releases.go
+++ b/internal/core/releases/releases.go
@@ -61,6 +61,10 @@
 	// true in whatever state the store has the rollout, until the rollout is
 	// removed, replaced or started again.
 	rejected bool
+	// behind is true while the store was restored from a copy that lacks progress of the
+	// rollout. lost is the rollout that was last removed, which a restore may have lost.
+	behind bool
+	lost   catalog.Rollout
 }
 
 // A Reason is why a version was judged to be bad.
@@ -204,9 +208,18 @@
 // none. Age is how long a new rollout may have been in the store.
 func (t *Tracker) SetRollout(now time.Time, rollout *catalog.Rollout, age time.Duration) {
 	if rollout == nil {
-		*t = Tracker{}
+		*t = Tracker{lost: t.latest(), rejected: t.rejected}
 		return
 	}
+	if known := t.latest(); t.isRestored(known, rollout) {
+		if !t.active {
+			*t = Tracker{active: true, rejected: t.rejected, firstSeenAt: now, stageSeenAt: now}
+		}
+		t.rollout, t.behind = *rollout, true
+		t.rollout.Progress = known.Progress
+		return
+	}
+	t.behind = false
 	if !t.active || t.rollout.Target != rollout.Target {
 		*t = Tracker{active: true, firstSeenAt: now.Add(-min(age, maxAge))}
 	}
@@ -220,6 +233,26 @@
 	t.rollout = *rollout
 }
 
+// latest returns the latest rollout that was known, the zero Rollout if there was none.
+func (t *Tracker) latest() catalog.Rollout {
+	if t.active {
+		return t.rollout
+	}
+	return t.lost
+}
+
+// isRestored reports whether the store has a rollout with less progress than is known, because
+// it was restored from a copy.
+func (t *Tracker) isRestored(known catalog.Rollout, rollout *catalog.Rollout) bool {
+	return known.Target == rollout.Target && rollout.Progress.Before(known.Progress) && (t.behind || rollout.Era > known.Era)
+}
+
+// Behind reports whether the store was restored from a copy that lacks progress of the rollout,
+// so that it has to be written again.
+func (t *Tracker) Behind() bool {
+	return t.behind
+}
+
 // Reject records that the target of a rollout in progress is bad and reports
 // whether this was not known before.
 func (t *Tracker) Reject() bool {
@@ -303,6 +336,9 @@
 // the rollout is completed. The share does not rise either where more requests
 // than allowed would reach the target.
 func (t *Tracker) NextProgress(now time.Time, limits Limits, target TargetState) (catalog.Progress, bool) {
+	if t.behind {
+		return t.rollout.Progress, true
+	}
 	if !t.InProgress() {
 		return catalog.Progress{}, false
 	}
--- a/internal/instance/entry/entry.go
+++ b/internal/instance/entry/entry.go
@@ -56,6 +56,8 @@
 	dialer       *connect.Dialer
 	// quarantineChanges are the changes of the quarantine to be written to the store.
 	quarantineChanges chan quarantine.Change
+	// storeRestored tells that the store was restored from a copy.
+	storeRestored chan struct{}
 
 	started     time.Time
 	readyLogged atomic.Bool
@@ -118,6 +120,7 @@
 		metrics:      metrics.New(s.Instance, s.DataCenter),
 
 		quarantineChanges: make(chan quarantine.Change, maxQuarantineChanges),
+		storeRestored:     make(chan struct{}, 1),
 	}
 	random := rand.New(rand.NewPCG(rand.Uint64(), uint64(time.Now().UnixNano())))
 	i.dispatcher = dispatch.New(s.DataCenter, dispatchLimits(s.Shared), random)
--- a/internal/instance/entry/restore_test.go
+++ b/internal/instance/entry/restore_test.go
@@ -8,6 +8,9 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"mimosayard/internal/core/quarantine"
+	"mimosayard/platform"
 )
 
 // configBound is the time in which an acknowledged configuration must be in force.
@@ -124,6 +127,23 @@
 	}
 }
 
+// TestQuarantineIsWrittenAgainAfterARestore guards against quarantined parts that are forgotten
+// when all instances die after the store was restored from a copy that lacks them.
+func TestQuarantineIsWrittenAgainAfterARestore(t *testing.T) {
+	t.Parallel()
+	f := newTestFleet(t, 2, 2)
+	f.administer(http.MethodPut, "backup")
+	for _, i := range f.instances {
+		i.dispatcher.RestoreQuarantine(time.Now(), []quarantine.PartID{"bad"})
+	}
+	f.putConfig("4")
+	f.administer(http.MethodPost, "restore")
+	f.await("the store has the part", func() bool {
+		objects, _, err := f.instances[0].store.List(t.Context(), platform.KindQuarantine)
+		return err == nil && len(objects) == 1 && objects[0].Name == "bad"
+	})
+}
+
 // putUpstream registers an upstream anew.
 func (f *testFleet) putUpstream(index int, state string) {
 	f.t.Helper()
--- a/internal/instance/entry/tasks.go
+++ b/internal/instance/entry/tasks.go
@@ -59,6 +59,12 @@
 
 func (i *Instance) initCaches() {
 	i.config = i.newCache(platform.KindConfig, i.applyConfig)
+	i.config.OnRestore = func() {
+		select {
+		case i.storeRestored <- struct{}{}:
+		default:
+		}
+	}
 	i.upstreams = i.newCache(platform.KindServers, i.applyUpstreams)
 	i.upstreams.BatchDelay = upstreamBatchDelay
 	i.upstreams.FollowerBatchDelay = time.Duration(followerBatchShare * float64(i.settings.Shared.UpstreamDrain()))
@@ -210,6 +216,8 @@
 			return nil
 		case change := <-i.quarantineChanges:
 			i.writeQuarantine(ctx, change)
+		case <-i.storeRestored:
+			i.rewriteQuarantine(ctx)
 		}
 	}
 }
@@ -231,6 +239,17 @@
 	i.dispatcher.RestoreQuarantine(time.Now(), parts)
 }
 
+// rewriteQuarantine writes the quarantined prompt parts to a store that was restored from a copy,
+// which may lack them. One instance of the fleet does.
+func (i *Instance) rewriteQuarantine(ctx context.Context) {
+	if !i.node.IsOwner(string(platform.KindQuarantine)) {
+		return
+	}
+	for _, entry := range i.dispatcher.Quarantine() {
+		i.writeQuarantine(ctx, quarantine.Change{Part: entry.Part})
+	}
+}
+
 // writeQuarantine writes a change to the store.
 func (i *Instance) writeQuarantine(ctx context.Context, change quarantine.Change) {
 	err := tryStore(ctx, func() error {
--- a/internal/instance/storecache/storecache.go
+++ b/internal/instance/storecache/storecache.go
@@ -53,6 +53,9 @@
 	// IgnoreCopies keeps what is known of an object whose entry in a restored store is one that
 	// was changed or removed before, until its owner writes it again.
 	IgnoreCopies bool
+	// OnRestore is called when the store was restored from a copy. It must not block, and may
+	// be nil.
+	OnRestore func()
 	// NotifyPeers is called after a change from the store, to notify the peers
 	// at once.
 	NotifyPeers func()
@@ -331,6 +334,9 @@
 	case version.Era > c.version.Era:
 		events.StoreRestored.Log(c.Log, zap.String("kind", string(c.Kind)), zap.Uint64("era", version.Era),
 			zap.Uint64("revision", version.Revision), zap.Uint64("known", c.version.Revision))
+		if c.OnRestore != nil {
+			c.OnRestore()
+		}
 	}
 	known := c.objects
 	c.objects = make(map[string]platform.Object, len(objects))
