List again once any call has met a later era of the store

A watch from a revision that a restored store has given out again by then waits without the changes up to it, until it is renewed. The caches now list again before a watch if another call has met a later era. TestWatchOfAnEarlierEra failed before: the watch got no answer for 2 s.

--- a/internal/instance/storecache/storecache.go
+++ b/internal/instance/storecache/storecache.go
@@ -181,6 +181,9 @@
 // watch from, otherwise a watch.
 func (c *Cache) listOrWatch(ctx context.Context) error {
 	started := time.Now()
+	if c.watchPosition.Era < c.Store.Era() {
+		c.watchPosition = platform.Position{}
+	}
 	if c.watchPosition == (platform.Position{}) {
 		objects, position, err := c.Store.List(ctx, c.Kind)
 		if err != nil {
--- a/internal/instance/storecache/storecache_test.go
+++ b/internal/instance/storecache/storecache_test.go
@@ -6,6 +6,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -194,6 +195,34 @@
 	})
 }
 
+// TestWatchOfAnEarlierEra guards against a watch from a revision that was given out again since
+// the store was restored, which misses what was written up to there.
+func TestWatchOfAnEarlierEra(t *testing.T) {
+	is := is.New(t)
+	var listed atomic.Int64
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Store-Era", "2")
+		if r.URL.Query().Get("watch") != "" {
+			<-r.Context().Done()
+			return
+		}
+		listed.Add(1)
+		_, _ = w.Write([]byte(`{"items":[` + itemJSON("b", "7") + `],"as_of":8}`))
+	}))
+	t.Cleanup(server.CloseClientConnections)
+	published := make(chan []platform.Object, 4)
+	c := newCache(&platform.Store{BaseURL: server.URL, HTTPClient: server.Client()}, published)
+	c.applyList([]platform.Object{{Name: "a", Revision: 3}}, platform.Position{Era: 1, Revision: 4}, 0)
+	c.watchPosition = platform.Position{Era: 1, Revision: 4}
+	is.Equal(names(<-published), "a")
+	// Another call has met the later era.
+	_, _, err := c.Store.List(t.Context(), platform.KindConfig)
+	is.NoErr(err)
+	is.NoErr(c.listOrWatch(t.Context()))
+	is.Equal(listed.Load(), int64(2))
+	is.Equal(names(<-published), "b")
+}
+
 // TestObjectHistory guards against a history that grows without bound, or forgets its latest
 // states.
 func TestObjectHistory(t *testing.T) {
