Upgrade from the last landing, and follow peers of another build

The tests of an upgrade now also start from the last landing, and start an instance that cannot reach the store among those of the other build, both ways: it follows three configurations each.

--- a/internal/evaluation/processes/upgrade_test.go
+++ b/internal/evaluation/processes/upgrade_test.go
@@ -17,8 +17,9 @@
 
 // earlierBuilds are the commits from whose builds a fleet is upgraded.
 var earlierBuilds = map[string]string{
-	"the last landing":   "f7c3a90",
-	"the landing before": "61f27c1",
+	"the last landing":   "555de8f",
+	"the landing before": "f7c3a90",
+	"the one before":     "61f27c1",
 	"an early one":       "818f71e",
 }
 
@@ -115,6 +116,7 @@
 			f := newSharedFleetOf(t, earlier, 3, 3)
 			f.upgradeUnderLoad(earlier)
 			f.restartMixed(earlier)
+			f.followPeers(earlier)
 		})
 	}
 }
@@ -141,6 +143,31 @@
 	f.assertExecutions(results)
 }
 
+// followPeers starts an instance of one build that cannot reach the store among those of the
+// other, both ways. It has only its peers to follow the configuration.
+func (f *sharedFleet) followPeers(earlier string) {
+	f.t.Helper()
+	const last = 2
+	for round, programs := range [][2]string{{earlier, present}, {present, earlier}} {
+		for n := range f.instances {
+			f.instances[n].kill()
+			f.program = programs[0]
+			if n == last {
+				f.program = programs[1]
+			}
+			f.instances[n] = f.startSharedInstance(n, n == last)
+		}
+		f.awaitPeers()
+		for step := range 3 {
+			key := fmt.Sprintf("key-%d-%d", round, step)
+			f.putConfiguration(validKey, mixedKey, key)
+			f.await(fmt.Sprintf("%s follows %s", programs[1], programs[0]), func() bool {
+				return f.callStatus(last, "GET", "/safe/x", key) == http.StatusOK
+			})
+		}
+	}
+}
+
 // restartMixed kills all instances at once and starts two of the present and one of the earlier
 // build from what the others have stored.
 func (f *sharedFleet) restartMixed(earlier string) {
--- a/internal/instance/storecache/storecache_test.go
+++ b/internal/instance/storecache/storecache_test.go
@@ -223,6 +223,27 @@
 	is.Equal(names(<-published), "b")
 }
 
+// TestSnapshotsOfEarlierBuilds guards against an instance that has lost the store and does not
+// follow peers of an earlier build, which tell no era, and against one that takes a state of
+// before a restore from them.
+func TestSnapshotsOfEarlierBuilds(t *testing.T) {
+	is := is.New(t)
+	c := newCache(nil, make(chan []platform.Object, 8))
+	snapshot := func(era, revision uint64, name string) bool {
+		version := peers.DocumentVersion{Era: era, Revision: revision, Digest: revision}
+		known, _ := c.DocumentVersion()
+		return version.After(known) && c.ApplySnapshot(version, []byte(`[{"name":"`+name+`","revision":1}]`))
+	}
+	c.applyList(nil, platform.Position{Era: 3, Revision: 10}, 0)
+	is.True(snapshot(0, 12, "a"))
+	is.True(!snapshot(0, 11, "b"))
+	is.True(snapshot(4, 8, "c"))
+	is.True(!snapshot(0, 20, "d"))
+	is.True(!snapshot(3, 30, "e"))
+	is.True(snapshot(4, 9, "f"))
+	is.Equal(names(c.sortedObjects()), "f")
+}
+
 // TestObjectHistory guards against a history that grows without bound, or forgets its latest
 // states.
 func TestObjectHistory(t *testing.T) {
