--- a/internal/core/dispatch/room.go
+++ b/internal/core/dispatch/room.go
@@ -58,7 +58,7 @@
 		u.AllowRejections()
 	case d.needsOwner(s, limit):
 		u.SetOwner(d.owners.Of(now, u.ID))
-		u.Room.SetTolerated(rejectionBudget(limit))
+		u.Room().SetTolerated(rejectionBudget(limit))
 	default:
 		u.LimitRejections(d.rejectionShare(s, u, limit))
 	}
@@ -159,7 +159,7 @@
 	for _, s := range d.services {
 		for _, u := range s.upstreams {
 			if u.Address == address && (u.Usable() || u.Draining(now)) {
-				return u.Room.Acquire(now, u.Slots, wait, onOpen)
+				return u.Room().Acquire(now, u.Slots, wait, onOpen)
 			}
 		}
 	}
@@ -174,7 +174,7 @@
 	for _, s := range d.services {
 		for _, u := range s.upstreams {
 			if u.Address == address {
-				u.Room.RecordRejection(now)
+				u.Room().RecordRejection(now)
 			}
 		}
 	}
--- a/internal/core/dispatch/task.go
+++ b/internal/core/dispatch/task.go
@@ -412,7 +412,7 @@
 	case Refused:
 		u.RecordRefusal(now)
 		if call.RoomWait > 0 && call.Owner == "" {
-			u.Room.RecordRejection(now)
+			u.Room().RecordRejection(now)
 		}
 	case AddressReused:
 		u.MarkAddressReused()
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -47,11 +47,6 @@
 	// limited is true while the upstream limits its rejections or its calls.
 	limited bool
 
-	rejections rejectionLimit
-	admission  admission
-	// Room bounds the calls of all instances that this one admits.
-	Room pacing.Semaphore
-
 	catalog.Upstream
 	// Calls and Failures count this instance's recent calls and those of them
 	// that failed. Both decay with countHalfLife.
@@ -81,6 +76,9 @@
 	// Limit is the limit on its calls that the upstream names. UpdateLimited must be called
 	// after it was named or lifted.
 	Limit pacing.Limit
+
+	rejections rejectionLimit
+	admission  admission
 }
 
 // Criteria are the properties of a request that decide on its upstream.
@@ -144,7 +142,7 @@
 // an owner admits the calls: all would choose the upstream that had the least work a while
 // ago, and wait there while others have room.
 func (u *Upstream) Work() float64 {
-	if u.admission.owned {
+	if u.limited && u.admission.owned {
 		return u.OwnWork
 	}
 	return u.OwnWork + u.OthersWork
--- a/internal/core/placement/rejections.go
+++ b/internal/core/placement/rejections.go
@@ -81,14 +81,14 @@
 // in a second.
 func (u *Upstream) LimitRejections(share int) {
 	u.rejections.limited, u.rejections.share = true, share
-	u.admission = admission{}
+	u.clearOwner()
 	u.UpdateLimited()
 }
 
 // AllowRejections ends the limit on rejections.
 func (u *Upstream) AllowRejections() {
 	u.rejections.limited, u.rejections.rejected, u.rejections.unsure = false, nil, nil
-	u.admission = admission{}
+	u.clearOwner()
 	u.UpdateLimited()
 }
 
