--- a/internal/instance/entry/brittle_test.go
+++ b/internal/instance/entry/brittle_test.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/matryer/is"
-	"golang.org/x/sync/errgroup"
 )
 
 // TestBrittleUpstreamsRejectFewCalls guards against instances that together make an upstream
@@ -27,16 +26,8 @@
 			f.upstreams[n].Listener.Addr()))
 	}
 	begin := time.Now()
-	group := &errgroup.Group{}
-	served := make([]int64, len(f.instances))
 	requests := int((settling + window) / interval)
-	for n := range f.instances {
-		group.Go(func() error {
-			served[n] = f.servedSafe(n, requests, interval)
-			return nil
-		})
-	}
-	is.NoErr(group.Wait())
+	served := f.servedByEach(requests, interval, "/safe/x")
 	for n, u := range f.standIns {
 		rejections := u.RejectionsSince(begin.Add(settling))
 		t.Logf("upstream %d rejected %d, the callers were served %v of %d", n, rejections, served, requests)
--- a/internal/instance/entry/limits_test.go
+++ b/internal/instance/entry/limits_test.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/matryer/is"
-	"golang.org/x/sync/errgroup"
 )
 
 // setFaults replaces the faults of an upstream.
@@ -36,16 +35,8 @@
 	f := newTestFleet(t, 4, 4)
 	f.setFaults(0, fmt.Sprintf(`{"limit":%g}`, limit))
 	begin := time.Now()
-	group := &errgroup.Group{}
-	served := make([]int64, len(f.instances))
 	requests := int((settling + window) / interval)
-	for n := range f.instances {
-		group.Go(func() error {
-			served[n] = f.servedCount(n, requests, interval)
-			return nil
-		})
-	}
-	is.NoErr(group.Wait())
+	served := f.servedByEach(requests, interval, "/safe/x", "/unsafe/x", "/stream/x")
 	arrivals := f.standIns[0].ArrivalsSince(begin.Add(settling))
 	t.Logf("the upstream got %d requests, the callers were served %v of %d", arrivals, served, requests)
 	is.True(float64(arrivals) <= 1.5*limit*window.Seconds()+5)
--- a/internal/instance/entry/links_test.go
+++ b/internal/instance/entry/links_test.go
@@ -206,9 +206,19 @@
 	return f.servedOn(index, requests, interval, "/safe/x", "/unsafe/x", "/stream/x")
 }
 
-// servedSafe is like servedCount for requests that may be repeated.
-func (f *testFleet) servedSafe(index, requests int, interval time.Duration) int64 {
-	return f.servedOn(index, requests, interval, "/safe/x")
+// servedByEach returns how many of the requests to each instance are served. They go to the
+// paths in turn.
+func (f *testFleet) servedByEach(requests int, interval time.Duration, paths ...string) []int64 {
+	group := &errgroup.Group{}
+	served := make([]int64, len(f.instances))
+	for n := range f.instances {
+		group.Go(func() error {
+			served[n] = f.servedOn(n, requests, interval, paths...)
+			return nil
+		})
+	}
+	_ = group.Wait()
+	return served
 }
 
 // servedOn returns how many of the requests to an instance are served. They go to the paths
