Let late repeats use room that there is at brittle upstreams

A repeat later than half of its route's target was refused without a question to the owner, though only waiting is not worth it then. It now asks without waiting. TestLateRepeatsUseRoomThatThereIs failed before: no call for the repeat.

--- a/internal/core/dispatch/brittle_test.go
+++ b/internal/core/dispatch/brittle_test.go
@@ -203,6 +203,29 @@
 	is.Equal(len(d.ToleranceChanges()), 0)
 }
 
+// TestLateRepeatsUseRoomThatThereIs guards against repeats that are not sent to an upstream with
+// room since it is too late to wait for some.
+func TestLateRepeatsUseRoomThatThereIs(t *testing.T) {
+	is := is.New(t)
+	f := newEmulatedFleet(fleetLoad{instances: 1, upstreams: 2, limit: 4, overload: 1})
+	d := f.dispatchers[0]
+	task, fault := d.Admit(now, Request{ID: "a", Route: f.route, ArrivedAt: now, Deadline: now.Add(f.route.Timeout)})
+	is.True(fault == nil)
+	for _, u := range d.services["desk"].upstreams {
+		u.ConfirmTolerance(now, 4)
+		d.limitRejections(now, u)
+	}
+	call, fault := d.NextCall(now, task)
+	is.True(fault == nil)
+	is.Equal(call.RoomWait, f.route.LatencyTarget/2)
+	late := now.Add(2 * f.route.LatencyTarget)
+	d.EndCall(late, task, call, Failed)
+	call, fault = d.NextCall(late, task)
+	is.True(fault == nil)
+	is.True(call.RoomWait > 0)
+	is.True(call.RoomWait < f.route.LatencyTarget/10)
+}
+
 // TestFullUpstreamsAreNotWaitedForInVain guards against requests that wait for room that
 // cannot come in time, or without need.
 func TestFullUpstreamsAreNotWaitedForInVain(t *testing.T) {
--- a/internal/core/dispatch/task.go
+++ b/internal/core/dispatch/task.go
@@ -202,8 +202,7 @@
 		return nil, noUpstreamNow(now, task.service.name, candidates)
 	}
 	owner, owned := u.Owner()
-	roomWait := task.latestStart().Sub(now)
-	if owned && (roomWait < minRoomWait || task.noRoom >= maxNoRoom) {
+	if owned && task.noRoom >= maxNoRoom {
 		return nil, faults.New(faults.Overloaded, "the upstream has no room in time")
 	}
 	u.RecordCall(now)
@@ -222,7 +221,8 @@
 		sentAt:       now,
 	}
 	if owned {
-		call.Owner, call.RoomWait = owner, roomWait
+		// A late repeat is not worth a wait, but uses room that there is.
+		call.Owner, call.RoomWait = owner, max(minRoomWait, task.latestStart().Sub(now))
 	}
 	if criteria.Prompt != nil {
 		call.place = forecast.Elsewhere
