Bound calls after a lost history, and states of peers without an era

Read on the way: a watch whose position the store never has was listed and watched again without a pause, hundreds of calls a second (TestLostHistoryIsNotAskedForAgainAtOnce failed); a rollout that came from a peer of an earlier build had no era, so its status was never written by this instance; an instance whose first state came from such a peer took the store's own state for one after a restore, or ignored it if its revision was lower. TestSnapshotsOfEarlierBuilds has these cases and failed.

--- a/internal/instance/storecache/storecache.go
+++ b/internal/instance/storecache/storecache.go
@@ -63,6 +63,8 @@
 	// watchPosition is the position from which to watch. If it is zero, the
 	// objects are listed first. Only Run uses it.
 	watchPosition platform.Position
+	// historyGoneAt is when the store last lacked the history of a watch. Only Run uses it.
+	historyGoneAt time.Time
 
 	mutex   sync.Mutex
 	objects map[string]platform.Object
@@ -119,6 +121,10 @@
 		case errors.Is(err, platform.ErrHistoryGone):
 			c.watchPosition = platform.Position{}
 			events.WatchHistoryExpired.Log(c.Log, zap.String("kind", string(c.Kind)))
+			if time.Since(c.historyGoneAt) < maxBackoff {
+				delay.Sleep(ctx, delay.WithJitter(maxBackoff/2))
+			}
+			c.historyGoneAt = time.Now()
 		default:
 			c.recordStoreStatus(err)
 			delay.Sleep(ctx, delay.WithJitter(backoff))
@@ -166,6 +172,9 @@
 		if version.Era == 0 {
 			// The peer's build does not tell eras.
 			version.Era = c.version.Era
+			for n := range objects {
+				objects[n].Era = platform.Era(version.Era)
+			}
 		}
 		c.replaceObjects(objects, version)
 		c.peerPosition = platform.Position{Era: platform.Era(version.Era), Revision: platform.Revision(version.Revision)}
@@ -268,7 +277,8 @@
 func (c *Cache) applyList(objects []platform.Object, position platform.Position, age time.Duration) {
 	c.mutex.Lock()
 	version := peers.DocumentVersion{Era: uint64(position.Era), Revision: uint64(position.Revision)}
-	newer := !c.hasState || version.After(c.version)
+	eraWasUnknown := c.version.Era == 0 && version.Era != 0
+	newer := !c.hasState || version.After(c.version) || eraWasUnknown
 	previousDigest := c.version.Digest
 	first := !c.hasState
 	if newer {
@@ -332,7 +342,7 @@
 // The caller must hold the mutex.
 func (c *Cache) replaceObjects(objects []platform.Object, version peers.DocumentVersion) {
 	switch {
-	case !c.hasState:
+	case !c.hasState, c.version.Era == 0:
 		c.hasState, c.firstEra = true, version.Era
 	case version.Era > c.version.Era:
 		events.StoreRestored.Log(c.Log, zap.String("kind", string(c.Kind)), zap.Uint64("era", version.Era),
--- a/internal/instance/storecache/storecache_test.go
+++ b/internal/instance/storecache/storecache_test.go
@@ -1,6 +1,7 @@
 package storecache
 
 import (
+	"context"
 	"encoding/json"
 	"net/http"
 	"net/http/httptest"
@@ -242,6 +243,44 @@
 	is.True(!snapshot(3, 30, "e"))
 	is.True(snapshot(4, 9, "f"))
 	is.Equal(names(c.sortedObjects()), "f")
+
+	// Writes conditional on an object need the era in which it was read.
+	c = newCache(nil, make(chan []platform.Object, 8))
+	c.applyList(nil, platform.Position{Era: 3, Revision: 10}, 0)
+	is.True(snapshot(0, 12, "a"))
+	is.Equal(c.objects["a"].Era, platform.Era(3))
+
+	// The store goes before what a peer told first, which may be of before a restore.
+	c = newCache(nil, make(chan []platform.Object, 8))
+	restores := 0
+	c.OnRestore = func() { restores++ }
+	is.True(c.ApplySnapshot(peers.DocumentVersion{Revision: 50}, []byte(`[{"name":"a","revision":50}]`)))
+	c.applyList([]platform.Object{{Name: "b", Era: 3, Revision: 5}}, platform.Position{Era: 3, Revision: 10}, 0)
+	is.Equal(names(c.sortedObjects()), "b")
+	is.Equal(restores, 0)
+	is.True(snapshot(0, 12, "c"))
+}
+
+// TestLostHistoryIsNotAskedForAgainAtOnce guards against calls without a pause to a store that
+// does not have the position of each watch.
+func TestLostHistoryIsNotAskedForAgainAtOnce(t *testing.T) {
+	is := is.New(t)
+	var calls atomic.Int64
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		calls.Add(1)
+		if r.URL.Query().Get("watch") != "" {
+			w.WriteHeader(http.StatusGone)
+			return
+		}
+		_, _ = w.Write([]byte(`{"items":[],"as_of":8}`))
+	}))
+	t.Cleanup(server.CloseClientConnections)
+	c := newCache(&platform.Store{BaseURL: server.URL, HTTPClient: server.Client()}, make(chan []platform.Object, 4))
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	is.NoErr(c.Run(ctx))
+	is.True(calls.Load() >= 4)
+	is.True(calls.Load() <= 20)
 }
 
 // TestObjectHistory guards against a history that grows without bound, or forgets its latest
