--- a/internal/instance/entry/restore_test.go
+++ b/internal/instance/entry/restore_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -96,23 +97,12 @@
 			f := newTestFleet(t, 2, 2)
 			f.administer(http.MethodPut, "backup")
 			leave(f)
-			f.await("the upstream has left", func() bool {
-				for _, i := range f.instances {
-					if i.dispatcher.UsableUpstreamCount() != 1 {
-						return false
-					}
-				}
-				return true
-			})
+			f.awaitAll("the upstream has left", func(i *testInstance) bool { return i.dispatcher.UsableUpstreamCount() == 1 })
 			restored := time.Now()
 			f.administer(http.MethodPost, "restore")
-			f.await("the store's state is known", func() bool {
-				for _, i := range f.instances {
-					if version, _ := i.upstreams.DocumentVersion(); version.Era < 2 {
-						return false
-					}
-				}
-				return true
+			f.awaitAll("the store's state is known", func(i *testInstance) bool {
+				version, _ := i.upstreams.DocumentVersion()
+				return version.Era == 2
 			})
 			for n := range 100 {
 				f.status(n%len(f.instances), http.MethodGet, "/safe/x")
@@ -127,6 +117,14 @@
 	}
 }
 
+// awaitAll waits until a condition holds for all instances.
+func (f *testFleet) awaitAll(what string, condition func(i *testInstance) bool) {
+	f.t.Helper()
+	f.await(what, func() bool {
+		return !slices.ContainsFunc(f.instances, func(i *testInstance) bool { return !condition(i) })
+	})
+}
+
 // TestQuarantineIsWrittenAgainAfterARestore guards against quarantined parts that are forgotten
 // when all instances die after the store was restored from a copy that lacks them.
 func TestQuarantineIsWrittenAgainAfterARestore(t *testing.T) {
--- a/internal/instance/storecache/model_test.go
+++ b/internal/instance/storecache/model_test.go
@@ -54,33 +54,41 @@
 		published := make(chan []platform.Object, 64)
 		c := newCache(nil, published)
 		c.IgnoreCopies = true
-		var before map[string]platform.Object
-		var gone objectHistory
+		o := replacementObserver{cache: c}
 		for index := 1; index < len(history); index += rapid.IntRange(0, 2).Draw(t, "pass") {
-			applyMoment(t, c, history[index], before != nil)
+			applyMoment(t, c, history[index], o.before != nil)
 			for len(published) > 0 {
 				<-published
 			}
-			era := c.version.Era
-			for name, object := range before {
-				if stateOf(c.objects[name]) != stateOf(object) && era == uint64(object.Era) {
-					gone.add(object)
-				}
-			}
-			for name, object := range c.objects {
-				if gone.has(object) {
-					t.Fatalf("%s is %v again", name, object)
-				}
-			}
-			before = maps.Clone(c.objects)
-			for name, object := range before {
-				object.Era = platform.Era(era)
-				before[name] = object
-			}
+			o.observe(t)
 		}
 	})
 }
 
+// replacementObserver remembers which states of objects a cache has replaced in one era.
+type replacementObserver struct {
+	cache  *Cache
+	era    uint64
+	before map[string]platform.Object
+	gone   objectHistory
+}
+
+// observe fails the test if the cache has an object that was replaced before.
+func (o *replacementObserver) observe(t *rapid.T) {
+	t.Helper()
+	for name, object := range o.before {
+		if o.era == o.cache.version.Era && stateOf(o.cache.objects[name]) != stateOf(object) {
+			o.gone.add(object)
+		}
+	}
+	for name, object := range o.cache.objects {
+		if o.gone.has(object) {
+			t.Fatalf("%s is %v again", name, object)
+		}
+	}
+	o.era, o.before = o.cache.version.Era, maps.Clone(o.cache.objects)
+}
+
 // applyMoment applies a moment to the cache as a list, a peer's snapshot or
 // changes, and reports whether it did. A watch returns all changes of an era up to a
 // revision, possibly some of them again, and none before a list of that era.
