Check brittle upstreams in fleets of drawn sizes, and their owners

TestEachInstanceMayCallBrittleUpstreams returned without a check where one instance admits the calls, which is one of its seven sizes.

--- a/internal/core/dispatch/brittle_test.go
+++ b/internal/core/dispatch/brittle_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"pgregory.net/rapid"
 
 	"mimosayard/internal/core/aggregates"
 	"mimosayard/internal/core/catalog"
@@ -127,34 +128,65 @@
 	return strings.Join(shape, ", ")
 }
 
+// fleetSize is the size of a fleet, and the rejections in a second that its upstreams tolerate.
+type fleetSize struct{ instances, upstreams, limit int }
+
 // TestEachInstanceMayCallBrittleUpstreams guards against instances whose callers are all
 // refused because the upstreams tolerate fewer rejections than there are instances, and
 // against shares that add up to more than an upstream tolerates.
 func TestEachInstanceMayCallBrittleUpstreams(t *testing.T) {
-	for _, size := range []struct{ instances, upstreams, limit int }{{8, 4, 20}, {8, 4, 4}, {9, 3, 5}, {75, 25, 6}, {75, 25, 20}, {300, 600, 3}, {40, 2, 10}} {
-		t.Run(fmt.Sprintf("%d instances, %d upstreams, limit %d", size.instances, size.upstreams, size.limit), func(t *testing.T) {
-			is := is.New(t)
-			d := newDispatcher(newUpstreams("v1", size.upstreams)...)
-			s := d.services["llm"]
-			sums := map[tables.UpstreamID]int{}
-			if d.SetFleetPosition(now, 0, size.instances); d.needsOwner(s, size.limit) {
-				// No share is used.
-				return
+	for _, size := range []fleetSize{{8, 4, 20}, {8, 4, 4}, {9, 3, 5}, {75, 25, 6}, {75, 25, 20}, {300, 600, 3}, {40, 2, 10}} {
+		t.Run(fmt.Sprint(size), func(t *testing.T) { size.check(t) })
+	}
+	t.Run("drawn", rapid.MakeCheck(func(t *rapid.T) {
+		fleetSize{
+			rapid.IntRange(1, 120).Draw(t, "instances"),
+			rapid.IntRange(1, 60).Draw(t, "upstreams"),
+			rapid.IntRange(1, 40).Draw(t, "limit"),
+		}.check(t)
+	}))
+}
+
+// check checks the shares of all instances, or that all ask one and the same instance.
+func (s fleetSize) check(t rapid.TB) {
+	t.Helper()
+	d := newDispatcher(newUpstreams("v1", s.upstreams)...)
+	llm := d.services["llm"]
+	var members []tables.InstanceID
+	for n := range s.instances {
+		members = append(members, instanceID(n))
+	}
+	sums, owners := map[tables.UpstreamID]int{}, map[tables.UpstreamID]tables.InstanceID{}
+	for n := range s.instances {
+		d.SetFleetPosition(now, n, s.instances)
+		d.SetMembers(instanceID(n), members)
+		own := 0
+		for _, u := range llm.upstreams {
+			u.ConfirmTolerance(now, s.limit)
+			d.applyTolerance(now, u)
+			owner, owned := u.Owner()
+			if owner == "" {
+				owner = instanceID(n)
 			}
-			for n := range size.instances {
-				d.SetFleetPosition(now, n, size.instances)
-				own := 0
-				for _, u := range s.upstreams {
-					share := d.rejectionShare(s, u, size.limit)
-					own += share
-					sums[u.ID] += share
-				}
-				is.True(own > 0)
+			if owned && owners[u.ID] != "" && owners[u.ID] != owner {
+				t.Fatalf("the owner of %s is %s and %s", u.ID, owners[u.ID], owner)
 			}
-			for _, sum := range sums {
-				is.True(sum <= size.limit)
+			if owned {
+				owners[u.ID] = owner
+				continue
 			}
-		})
+			share := d.rejectionShare(llm, u, s.limit)
+			own += share
+			sums[u.ID] += share
+		}
+		if own == 0 && len(owners) < s.upstreams {
+			t.Fatalf("instance %d may call no upstream", n)
+		}
+	}
+	for id, sum := range sums {
+		if sum > s.limit {
+			t.Fatalf("%s may have to reject %d calls, it tolerates %d", id, sum, s.limit)
+		}
 	}
 }
 
