--- a/review/cases/server.go
+++ b/review/cases/server.go
@@ -43,6 +43,11 @@
 // startServer starts a stand-in of a server at an address of its own and registers it.
 func (w *world) startServer(number int, s *server) error {
 	s.world = w
+	return w.listen(number, s, s)
+}
+
+// listen serves a handler at the address of a server and registers the server.
+func (w *world) listen(number int, s *server, handler http.Handler) error {
 	s.address = fmt.Sprintf("%s.%d:7400", w.subnet, 10+number)
 	listener, err := (&net.ListenConfig{}).Listen(w.ctx, "tcp", s.address)
 	if err != nil {
@@ -52,7 +57,7 @@
 	w.listeners = append(w.listeners, listener)
 	w.mutex.Unlock()
 	go func() {
-		_ = (&http.Server{Handler: s, ReadHeaderTimeout: 10 * time.Second}).Serve(listener)
+		_ = (&http.Server{Handler: handler, ReadHeaderTimeout: 10 * time.Second}).Serve(listener)
 	}()
 	return s.register("ready")
 }
