--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -3,4 +3,4 @@
 # TROUBLE=0 leaves the disruption out. review/build.sh and the build of the deploy file come first.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review ] && [ -x target/standins ] && [ -x target/mimosayard ] || exit 2
-exec target/review -record review/4/record.txt rollback
+exec target/review -record review/4/record.txt models
