--- a/review/cases/pauses.go
+++ b/review/cases/pauses.go
@@ -16,22 +16,22 @@
 	// streamEvents is the number of events of a whole stream, eventPause the time between them.
 	streamEvents = 8
 	eventPause   = 50 * time.Millisecond
-	// preemptedAfter is the number of events of a run after which it is preempted, and
-	// preemptedFor how long that lasts.
-	preemptedAfter = 2
-	preemptedFor   = 2500 * time.Millisecond
+	// delayedAfter is the number of events of a run after which long prompts delay it, and
+	// delayedFor how long that lasts.
+	delayedAfter = 2
+	delayedFor   = 2500 * time.Millisecond
 	// patience is the gap after which callers abandon a stream: the longest of two seconds,
 	// four times the objective and eight times the pause of the sheet.
 	patience = 4 * time.Second
 	streams  = 9
 )
 
-// A modelServer is a stand-in of a sound model server. While its memory is short, it preempts
+// A modelServer is a stand-in of a sound model server. While it is busy, long prompts delay
 // each run once.
 type modelServer struct {
 	world *world
 	id    string
-	short bool
+	busy  bool
 
 	mutex sync.Mutex
 	runs  map[string]int
@@ -55,9 +55,9 @@
 	w.Header().Set("Content-Type", "text/event-stream")
 	for n := last + 1; n <= streamEvents; n++ {
 		pause := eventPause
-		if s.short && n == last+preemptedAfter+1 {
-			s.world.note("server %s preempts request %s after event %d", s.id, id, n-1)
-			pause = preemptedFor
+		if s.busy && n == last+delayedAfter+1 {
+			s.world.note("server %s reads long prompts beside request %s after event %d", s.id, id, n-1)
+			pause = delayedFor
 		}
 		select {
 		case <-time.After(pause):
@@ -72,13 +72,13 @@
 	}
 }
 
-// playPauses sends streams to an instance around a SIGHUP, while the memory of the model servers
-// is short, so that each run pauses for less than callers wait.
+// playPauses sends streams to an instance around a SIGHUP, while the model servers read long
+// prompts, so that each run pauses for less than callers wait.
 func playPauses(w *world, trouble bool) error {
 	const key = "n2ctnfzs989anu6wsjnb"
 	var servers []*modelServer
 	for n := range 6 {
-		s := &modelServer{world: w, id: fmt.Sprintf("i-%d", n+1), short: trouble, runs: map[string]int{}}
+		s := &modelServer{world: w, id: fmt.Sprintf("i-%d", n+1), busy: trouble, runs: map[string]int{}}
 		entry := &server{world: w, id: s.id, service: "llm", version: "v1"}
 		if err := w.listen(n, entry, s); err != nil {
 			return err
