Reject requests that may outlast the drain of an instance

Cause: requests that are not streams were accepted for half of the grace period, whatever the time that they may take. Nothing compared that time with the end of the drain. Ruled out, from the record of the case: an upstream that broke off (it saw its own connection closed), a deadline (10 s), a close of an idle connection (the requests had been passed on). Change: once the load balancer sends new connections elsewhere, a request is accepted only if its deadline is before the end of the drain. The others are rejected as not run, with the short Retry-After of a stopping instance. Until then they are accepted as before, since most run for a small part of their time.

--- a/internal/edge/ingress/ingress.go
+++ b/internal/edge/ingress/ingress.go
@@ -41,9 +41,11 @@
 	// zero if it has not.
 	SinceShutdown func() time.Duration
 	// AcceptWindow is the time after the start of shutdown during which new
-	// requests are still accepted. It must leave enough of the grace period to
-	// finish a call that is not a stream.
+	// requests are still accepted.
 	AcceptWindow time.Duration
+	// DrainWindow is the time after the start of shutdown at which requests in
+	// progress end. It must be longer than AcceptWindow.
+	DrainWindow time.Duration
 
 	inFlight atomic.Int64
 }
@@ -91,11 +93,10 @@
 	// callerIOTimeout bounds the read of the request body, and each write of a
 	// part of the response.
 	callerIOTimeout = 10 * time.Second
-	// streamAcceptWindow is the time after the start of shutdown during which
-	// new streams are still accepted. By its end the load balancer sends new
-	// connections to other instances. A stream that is cut at the end of the
-	// grace period may be resumed.
-	streamAcceptWindow = 2800 * time.Millisecond
+	// balancerWindow is the time after the start of shutdown during which all
+	// requests are accepted. By its end the load balancer sends new connections
+	// to other instances.
+	balancerWindow = 2800 * time.Millisecond
 	// notReadyRetryAfter is the Retry-After of an instance without a
 	// configuration. Loading one takes a few store calls of some milliseconds
 	// each.
@@ -140,7 +141,7 @@
 	if err := x.readBody(); err != nil {
 		return err
 	}
-	if x.server.rejectsNewRequests(x.route.Kind) {
+	if x.server.rejectsNewRequest(x.route.Kind, x.deadline()) {
 		fault := faults.New(faults.ShuttingDown, "")
 		fault.RetryAfter = shuttingDownRetryAfter
 		return fault
@@ -155,15 +156,17 @@
 	return x.callUpstreams(ctx)
 }
 
-// rejectsNewRequests reports whether the instance has been shutting down for
-// too long to finish a new request of the kind. By then the load balancer sends
-// new connections to other instances.
-func (s *Server) rejectsNewRequests(kind catalog.RouteKind) bool {
+// rejectsNewRequest reports whether the instance has been shutting down for too
+// long to finish a new request of the kind that may last until the deadline. The
+// load balancer then sends new connections to other instances, where the request
+// can run.
+func (s *Server) rejectsNewRequest(kind catalog.RouteKind, deadline time.Time) bool {
 	sinceShutdown := s.SinceShutdown()
-	if kind == catalog.Streaming {
-		return sinceShutdown > min(streamAcceptWindow, s.AcceptWindow)
+	if sinceShutdown <= min(balancerWindow, s.AcceptWindow) {
+		return false
 	}
-	return sinceShutdown > s.AcceptWindow
+	outlastsDrain := time.Until(deadline) > s.DrainWindow-sinceShutdown
+	return kind == catalog.Streaming || outlastsDrain || sinceShutdown > s.AcceptWindow
 }
 
 // resolveRoute finds the route of the request and, unless the route is public,
@@ -229,9 +232,9 @@
 // defaultBodyBytes bounds a request body if the configuration sets no limit.
 const defaultBodyBytes = 4 << 20
 
-// dispatchRequest returns the request for the dispatcher. Its deadline is the
-// shorter of the timeouts of the caller and the route.
-func (x *exchange) dispatchRequest() dispatch.Request {
+// deadline returns the time at which the request must be answered. It is the
+// earlier of the deadlines of the caller and the route.
+func (x *exchange) deadline() time.Time {
 	timeout := x.route.Timeout
 	if x.metadata.Timeout > 0 && (timeout <= 0 || x.metadata.Timeout < timeout) {
 		timeout = x.metadata.Timeout
@@ -239,6 +242,11 @@
 	if timeout <= 0 {
 		timeout = defaultRequestTimeout
 	}
+	return x.arrived.Add(timeout)
+}
+
+// dispatchRequest returns the request for the dispatcher.
+func (x *exchange) dispatchRequest() dispatch.Request {
 	x.contentPart = sync.OnceValue(x.hashContent)
 	return dispatch.Request{
 		ID:              x.metadata.ID,
@@ -251,7 +259,7 @@
 		SharedParts:     sharedPartIDs(x.metadata.PromptParts),
 		ContentPart:     x.contentPart,
 		ArrivedAt:       x.arrived,
-		Deadline:        x.arrived.Add(timeout),
+		Deadline:        x.deadline(),
 		Rank:            x.rank(),
 	}
 }
--- a/internal/edge/ingress/ingress_test.go
+++ b/internal/edge/ingress/ingress_test.go
@@ -99,6 +99,7 @@
 		Log:            zap.NewNop(),
 		SinceShutdown:  func() time.Duration { return 0 },
 		AcceptWindow:   4 * time.Second,
+		DrainWindow:    7 * time.Second,
 	}
 	ti.Server = httptest.NewServer(ti.server)
 	ti.Config.ErrorLog = zap.NewStdLog(zap.NewNop())
--- /dev/null
+++ b/internal/edge/ingress/shutdown_test.go
@@ -0,0 +1,43 @@
+package ingress
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// TestRequestsThatMayOutlastTheDrainAreRejected guards against requests that are passed on
+// late in the shutdown and cut off at its end, though they could have run elsewhere.
+func TestRequestsThatMayOutlastTheDrainAreRejected(t *testing.T) {
+	for _, c := range []struct {
+		name       string
+		path       string
+		elapsed    time.Duration
+		deadlineMs string
+		runs       int64
+	}{
+		{"an unsafe request whose deadline is after the drain", "/unsafe/x", 3300 * time.Millisecond, "10000", 0},
+		{"a safe request whose deadline is after the drain", "/safe/x", 3300 * time.Millisecond, "10000", 0},
+		{"a request without a deadline of its caller", "/unsafe/x", 3300 * time.Millisecond, "", 0},
+		{"a request that ends within the drain", "/unsafe/x", 3300 * time.Millisecond, "1500", 1},
+		{"a request while the balancer still sends connections", "/unsafe/x", 2 * time.Second, "10000", 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			ti := newTestIngress(t, echo)
+			ti.server.SinceShutdown = func() time.Duration { return c.elapsed }
+			request := ti.request(t, http.MethodPost, c.path, "")
+			request.Header.Set("X-Deadline-Ms", c.deadlineMs)
+			response, _, err := ti.do(t, request)
+			if c.runs == 0 {
+				assertStatus(t, response, err, http.StatusServiceUnavailable)
+				is.True(response.Header.Get("Retry-After") != "")
+			} else {
+				assertStatus(t, response, err, http.StatusOK)
+			}
+			is.Equal(ti.runs.Load(), c.runs)
+		})
+	}
+}
--- a/internal/instance/entry/entry.go
+++ b/internal/instance/entry/entry.go
@@ -137,6 +137,7 @@
 		Log:             i.log,
 		SinceShutdown:   i.sinceShutdown,
 		AcceptWindow:    time.Duration(acceptWindowShare * float64(s.Shared.StopGrace.Duration())),
+		DrainWindow:     s.Shared.StopGrace.Duration() - shutdownReserve,
 	}
 	return i
 }
@@ -205,7 +206,7 @@
 	start := time.Now()
 	i.shutdownStart.Store(&start)
 	events.InstanceStopping.Log(i.log, zap.Int64("in_progress", i.ingress.InFlight()))
-	drainDeadline := start.Add(i.settings.Shared.StopGrace.Duration() - shutdownReserve)
+	drainDeadline := start.Add(i.ingress.DrainWindow)
 	leaveCtx, cancelLeave := context.WithTimeout(ctx, time.Second)
 	i.node.Leave(leaveCtx)
 	cancelLeave()
