Serve kept connections while the balancer notices a stop

Seen by callers of the product's own interface: a request that is sent on a kept connection just after the signal to stop ends without an answer, though the instance accepts new connections for balancer_lag_ms more. Cause: SetKeepAlivesEnabled(false) closes all idle connections at once, whether a request is on its way or not. Change: answers of a stopping instance carry Connection: close instead. Idle connections are closed when the listener is. Evidence: TestKeptConnectionsAreServedDuringABalancersLag failed before (unexpected EOF) and passes. The packages service, callers and processes pass with the race detector. Tried and dropped: a listener that stays open and rejects with 503; TestGracefulStopInterruptsNoStream holds that it is closed.

--- a/internal/edge/callers/server.go
+++ b/internal/edge/callers/server.go
@@ -51,6 +51,9 @@
 	// RefusalFault returns the fault with which all new requests are refused,
 	// or nil if requests are admitted.
 	RefusalFault func() *faults.Error
+	// Stopping reports whether the instance is to stop. Answers then close their
+	// connections. It may be nil.
+	Stopping func() bool
 	// IsLinkLost reports whether this instance's own link to an upstream's address is
 	// lost. It may be nil.
 	IsLinkLost func(address string) bool
@@ -133,6 +136,9 @@
 			arrivedAt: time.Now(),
 		}
 		w.Header().Set(headerRequestID, x.requestID)
+		if s.Stopping != nil && s.Stopping() {
+			w.Header().Set("Connection", "close")
+		}
 		err := x.authenticate()
 		if err == nil {
 			err = serve(x)
--- /dev/null
+++ b/internal/instance/service/drain_test.go
@@ -0,0 +1,63 @@
+package service
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"mimosayard/internal/instance/settings"
+)
+
+// A keptConnection is a caller's connection that stays open between requests.
+type keptConnection struct {
+	net.Conn
+	reader *bufio.Reader
+}
+
+// dial opens a connection to an instance.
+func (f *testFleet) dial(index int) *keptConnection {
+	f.t.Helper()
+	conn, err := net.Dial("tcp", f.instances[index].callers)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Cleanup(func() { _ = conn.Close() })
+	return &keptConnection{conn, bufio.NewReader(conn)}
+}
+
+// deposit sends a request that must not be repeated.
+func (c *keptConnection) deposit() (*http.Response, error) {
+	const body = `{}`
+	_, err := fmt.Fprintf(c, "POST /services/orders/deposits HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer team\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	if err != nil {
+		return nil, err
+	}
+	response, err := http.ReadResponse(c.reader, nil)
+	if err == nil {
+		err = response.Body.Close()
+	}
+	return response, err
+}
+
+// TestKeptConnectionsAreServedDuringABalancersLag guards against connections that are closed
+// at the signal to stop, while a caller sends a request on them.
+func TestKeptConnectionsAreServedDuringABalancersLag(t *testing.T) {
+	is := is.New(t)
+	f := newTestFleetWithSettings(t, 1, settings.Settings{BalancerLag: 1000})
+	conn := f.dial(0)
+	response, err := conn.deposit()
+	is.NoErr(err)
+	is.Equal(response.Close, false)
+	f.instances[0].stop()
+	f.await("the instance stops", f.instances[0].stopping.Load)
+	time.Sleep(50 * time.Millisecond)
+	response, err = conn.deposit()
+	is.NoErr(err)
+	is.Equal(response.StatusCode, http.StatusOK)
+	is.True(response.Close)
+}
--- a/internal/instance/service/links_test.go
+++ b/internal/instance/service/links_test.go
@@ -31,6 +31,7 @@
 // A testFleet is a platform, upstreams and instances in one process.
 type testFleet struct {
 	t         *testing.T
+	settings  settings.Settings
 	platform  string
 	instances []*testInstance
 	// desk is the address of the plain service.
@@ -65,7 +66,14 @@
 // until the instances know each other and serve.
 func newTestFleet(t *testing.T, instances int) *testFleet {
 	t.Helper()
-	f := &testFleet{t: t, platform: "http://" + startServer(t, (&platform.Server{}).Handler())}
+	return newTestFleetWithSettings(t, instances, settings.Settings{BalancerLag: 10})
+}
+
+// newTestFleetWithSettings is newTestFleet with the settings of the instances. Addresses and
+// names are filled in.
+func newTestFleetWithSettings(t *testing.T, instances int, common settings.Settings) *testFleet {
+	t.Helper()
+	f := &testFleet{t: t, settings: common, platform: "http://" + startServer(t, (&platform.Server{}).Handler())}
 	pool := tables.Pool{Name: "small", Service: "llm", Kind: tables.KindModel, Model: "small", Version: "v1", PromptCost: 1, AnswerCost: 1, Concurrency: 64}
 	for n := range 3 {
 		server := &testUpstream{Handler: (&engine.Server{Model: "small", Version: "v1", Quality: 1, Slots: 64, FirstTokenDelay: time.Millisecond, TokenInterval: 5 * time.Millisecond}).Handler()}
@@ -110,21 +118,18 @@
 func (f *testFleet) newInstance(n int, subnet string) *testInstance {
 	f.t.Helper()
 	address := func(port int) string { return fmt.Sprintf("%s.%d:%d", subnet, n+10, port) }
-	data, err := json.Marshal(settings.Settings{
-		Instance:         tables.InstanceID(fmt.Sprintf("router-%d", n)),
-		DataCenter:       "dc-0",
-		CallersAddress:   address(8080),
-		OperatorsAddress: address(8081),
-		PeersAddress:     address(8082),
-		PlatformURL:      f.platform,
-		PeerKey:          []byte("a key for the tests of the links"),
-		SeedPeers:        []string{subnet + ".10:8082", subnet + ".11:8082"},
-		BalancerLag:      10,
-	})
+	s := f.settings
+	s.Instance = tables.InstanceID(fmt.Sprintf("router-%d", n))
+	s.DataCenter = "dc-0"
+	s.CallersAddress, s.OperatorsAddress, s.PeersAddress = address(8080), address(8081), address(8082)
+	s.PlatformURL = f.platform
+	s.PeerKey = []byte("a key for the tests of the links")
+	s.SeedPeers = []string{subnet + ".10:8082", subnet + ".11:8082"}
+	data, err := json.Marshal(s)
 	if err != nil {
 		f.t.Fatal(err)
 	}
-	s, err := settings.Parse("test", data)
+	s, err = settings.Parse("test", data)
 	if err != nil {
 		f.t.Fatal(err)
 	}
--- a/internal/instance/service/service.go
+++ b/internal/instance/service/service.go
@@ -178,7 +178,6 @@
 func (i *Instance) drain(ctx context.Context, server *http.Server) {
 	i.stopping.Store(true)
 	events.InstanceStopping.Log(i.log)
-	server.SetKeepAlivesEnabled(false)
 	i.node.RefuseRelays()
 	delay.Sleep(ctx, i.settings.BalancerLag.Duration())
 	drainCtx, cancel := context.WithTimeout(ctx, i.settings.DrainTimeout.Duration())
@@ -260,6 +259,7 @@
 		MaxBodyBytes:    i.settings.MaxBodyBytes,
 		ClientIOTimeout: i.settings.SlowClientTimeout.Duration(),
 		RefusalFault:    i.refusalFault,
+		Stopping:        i.stopping.Load,
 		IsLinkLost: func(address string) bool {
 			return i.dialer.Links.Lost(time.Now(), links.Address(address))
 		},
