Answer the requests that are in progress at the end of a drain

Seen by callers, at both front doors: a request that is still in progress when the drain ends, and may have run, ends with a closed connection and no answer. Cause: http.Server.Close closes the connections, and nothing told the requests before. Change: at the end of the drain the contexts of the requests are canceled with a cause of their own, and a short time is left for their answers: not run where no upstream was reached, else the new kind interrupted (502, unknown). Calls that the instance ended count against no upstream and no version. A stream that has begun is still cut, so that it does not look complete.

--- a/internal/backend/upstreams/upstreams.go
+++ b/internal/backend/upstreams/upstreams.go
@@ -22,6 +22,7 @@
 	"mimosayard/internal/core/pacing"
 	"mimosayard/internal/core/routing"
 	"mimosayard/internal/core/tables"
+	"mimosayard/internal/net/sockets"
 )
 
 // A Client calls upstreams. Its zero value is ready to use, and it is safe for
@@ -162,8 +163,9 @@
 }
 
 // classifyError returns the fault for a failed call. It is a timeout if the
-// call made no progress or reached its deadline, a cancellation if the
-// context ended for another reason, and otherwise a failure of the upstream. The
+// call made no progress or reached its deadline, an interruption if the instance
+// stops, a cancellation if the context ended for another reason, and otherwise a
+// failure of the upstream. The
 // fault's run state is RunNo only if the call never got a connection. A timeout
 // also closes the idle connections to the address, which may be dead too.
 func (c *Client) classifyError(ctx context.Context, a *attempt, address string, err error) *faults.Error {
@@ -172,6 +174,8 @@
 	case errors.Is(cause, errNoProgress), errors.Is(cause, context.DeadlineExceeded):
 		kind = faults.UpstreamTimeout
 		c.closeIdle(address)
+	case errors.Is(cause, sockets.ErrRequestsEnded):
+		kind = faults.Interrupted
 	case cause != nil:
 		kind = faults.Canceled
 	}
--- a/internal/core/faults/faults.go
+++ b/internal/core/faults/faults.go
@@ -55,6 +55,7 @@
 	DuplicateRequest    Kind = "duplicate_request"
 	HeadersTooLarge     Kind = "headers_too_large"
 	Internal            Kind = "internal"
+	Interrupted         Kind = "interrupted"
 	NoUpstream          Kind = "no_upstream"
 	NotAllowed          Kind = "not_allowed"
 	NotReady            Kind = "not_ready"
@@ -95,6 +96,7 @@
 	DuplicateRequest:    {http.StatusConflict, RunUnknown, 0, "a request with this idempotency key was taken before"},
 	HeadersTooLarge:     {http.StatusRequestHeaderFieldsTooLarge, RunNo, 0, "the request headers are too large"},
 	Internal:            {http.StatusInternalServerError, RunUnknown, 0, "the router failed"},
+	Interrupted:         {http.StatusBadGateway, RunUnknown, 0, "the instance stopped before the answer was complete"},
 	NoUpstream:          {http.StatusServiceUnavailable, RunNo, time.Second, "no upstream can take the request"},
 	NotAllowed:          {http.StatusForbidden, RunNo, 0, "the team may not use this model or version"},
 	NotReady:            {http.StatusServiceUnavailable, RunNo, time.Second, "the instance has no configuration yet"},
--- a/internal/edge/callers/attempts.go
+++ b/internal/edge/callers/attempts.go
@@ -70,10 +70,11 @@
 }
 
 // isUpstreamFailure reports whether a failed call shows a failure of the upstream. A call
-// that a caller canceled does not, nor one that was lost with this instance's own link.
+// that a caller canceled or that the instance ended does not, nor one that was lost with
+// this instance's own link.
 func (x *exchange) isUpstreamFailure(address string, fault *faults.Error) bool {
 	switch {
-	case fault.Kind == faults.Canceled:
+	case fault.Kind == faults.Canceled, fault.Kind == faults.Interrupted:
 		return false
 	case fault.Run == faults.RunNo, x.server.IsLinkLost == nil:
 		return true
--- a/internal/edge/ingress/calls.go
+++ b/internal/edge/ingress/calls.go
@@ -226,6 +226,10 @@
 // response, and whether the request is done.
 func (x *exchange) classifyCallError(ctx context.Context, err error) (dispatch.Result, bool, error) {
 	switch {
+	case x.interrupted() && errors.Is(err, forward.ErrNotConnected):
+		return dispatch.NoRoom, false, faults.NotRun(faults.ShuttingDown, "")
+	case x.interrupted():
+		return dispatch.Abandoned, false, faults.New(faults.Interrupted, "")
 	case x.request.Context().Err() != nil:
 		return dispatch.Abandoned, true, errCallerDisconnected
 	case errors.Is(err, connect.ErrNoRoom), errors.Is(err, connect.ErrOwnerLost):
--- a/internal/edge/ingress/ingress.go
+++ b/internal/edge/ingress/ingress.go
@@ -24,6 +24,7 @@
 	"mimosayard/internal/core/quarantine"
 	"mimosayard/internal/core/tables"
 	"mimosayard/internal/instance/delay"
+	"mimosayard/internal/net/sockets"
 	"mimosayard/internal/telemetry/metrics"
 	"mimosayard/platform"
 )
@@ -142,9 +143,7 @@
 		return err
 	}
 	if x.server.rejectsNewRequest(x.route.Kind, x.deadline()) {
-		fault := faults.New(faults.ShuttingDown, "")
-		fault.RetryAfter = shuttingDownRetryAfter
-		return fault
+		return shuttingDownFault()
 	}
 	task, fault := x.server.Dispatcher.Admit(x.arrived, x.dispatchRequest())
 	if fault != nil {
@@ -169,6 +168,19 @@
 	return kind == catalog.Streaming || outlastsDrain || sinceShutdown > s.AcceptWindow
 }
 
+// shuttingDownFault returns the fault for a request that has not run here.
+func shuttingDownFault() *faults.Error {
+	fault := faults.New(faults.ShuttingDown, "")
+	fault.RetryAfter = shuttingDownRetryAfter
+	return fault
+}
+
+// interrupted reports whether the instance has ended its requests at the end of
+// the drain.
+func (x *exchange) interrupted() bool {
+	return errors.Is(context.Cause(x.request.Context()), sockets.ErrRequestsEnded)
+}
+
 // resolveRoute finds the route of the request and, unless the route is public,
 // authenticates the team.
 func (x *exchange) resolveRoute() error {
@@ -280,6 +292,9 @@
 func (x *exchange) callUpstreams(ctx context.Context) error {
 	var lastErr error
 	for {
+		if x.interrupted() {
+			return x.giveUp(shuttingDownFault(), lastErr)
+		}
 		call, fault := x.nextCall(ctx)
 		if fault != nil {
 			return x.giveUp(fault, lastErr)
--- a/internal/instance/entry/entry.go
+++ b/internal/instance/entry/entry.go
@@ -85,7 +85,8 @@
 	// and stacks.
 	memoryLimitShare = 0.7
 	// shutdownReserve is the time at the end of the grace period that is kept
-	// for the exit of the process. The drain ends before it.
+	// for the answers to requests that were ended and for the exit of the
+	// process. The drain ends before it.
 	shutdownReserve = 800 * time.Millisecond
 	// acceptWindowShare is the share of the grace period during which new
 	// requests are accepted. The load balancer needs two seconds to send them
@@ -158,6 +159,7 @@
 	defer stopTasks()
 	group, tasksCtx := errgroup.WithContext(tasksCtx)
 	callersServer := i.httpServer(i.ingress)
+	drainer := sockets.NewDrainer(callersServer)
 	operatorsHandler := (&operators.Server{
 		Metrics: i.metrics.Handler(), CheckReady: i.checkReady, Status: i.status,
 		Quarantine: func() any { return i.dispatcher.Quarantine() },
@@ -180,7 +182,7 @@
 	group.Go(func() error {
 		select {
 		case <-ctx.Done():
-			i.drain(tasksCtx, callersServer)
+			i.drain(tasksCtx, drainer)
 		case <-tasksCtx.Done():
 		}
 		stopTasks()
@@ -201,8 +203,9 @@
 
 // drain keeps serving until the load balancer has stopped sending new
 // connections and no request is in progress, or until shutdownReserve before
-// the end of the grace period. It then shuts the server down.
-func (i *Instance) drain(ctx context.Context, server *http.Server) {
+// the end of the grace period. It then shuts the server down, and ends the
+// requests that are still in progress.
+func (i *Instance) drain(ctx context.Context, drainer *sockets.Drainer) {
 	start := time.Now()
 	i.shutdownStart.Store(&start)
 	events.InstanceStopping.Log(i.log, zap.Int64("in_progress", i.ingress.InFlight()))
@@ -218,9 +221,9 @@
 	}
 	shutdownCtx, cancel := context.WithDeadline(ctx, drainDeadline)
 	defer cancel()
-	if err := server.Shutdown(shutdownCtx); err != nil {
+	drainer.Shutdown(shutdownCtx, func() {
 		events.DrainTimedOut.Log(i.log, zap.Int64("in_progress", i.ingress.InFlight()))
-	}
+	})
 }
 
 // drainCheckInterval is the time between two checks for requests in progress.
--- a/internal/instance/service/drain_test.go
+++ b/internal/instance/service/drain_test.go
@@ -61,3 +61,20 @@
 	is.Equal(response.StatusCode, http.StatusOK)
 	is.True(response.Close)
 }
+
+// TestRequestsInProgressAtTheEndOfTheDrainAreAnswered guards against callers that do not learn
+// that their request may have run, since the instance ended before its upstream answered.
+func TestRequestsInProgressAtTheEndOfTheDrainAreAnswered(t *testing.T) {
+	is := is.New(t)
+	f := newTestFleetWithSettings(t, 1, settings.Settings{BalancerLag: 10, DrainTimeout: 300})
+	f.deskServer.hang.Store(true)
+	arrivals := f.deskServer.arrivals.Load()
+	conn := f.dial(0)
+	go func() {
+		f.await("the request is in progress", func() bool { return f.deskServer.arrivals.Load() > arrivals })
+		f.instances[0].stop()
+	}()
+	response, err := conn.deposit()
+	is.NoErr(err)
+	is.Equal(response.StatusCode, http.StatusBadGateway)
+}
--- a/internal/instance/service/service.go
+++ b/internal/instance/service/service.go
@@ -135,6 +135,7 @@
 	defer cancelTasks()
 	group, tasksCtx := errgroup.WithContext(tasksCtx)
 	callersServer := i.newHTTPServer(i.callers.Handler())
+	drainer := sockets.NewDrainer(callersServer)
 	operatorsServer := i.newHTTPServer(i.newOperatorsServer().Handler())
 	group.Go(func() error { return sockets.Serve(callersServer, listeners.callers) })
 	group.Go(func() error { return sockets.Serve(operatorsServer, listeners.operators) })
@@ -152,7 +153,7 @@
 	group.Go(func() error {
 		select {
 		case <-ctx.Done():
-			i.drain(tasksCtx, callersServer)
+			i.drain(tasksCtx, drainer)
 		case <-tasksCtx.Done():
 		}
 		cancelTasks()
@@ -174,17 +175,17 @@
 
 // drain reports the instance as not ready, accepts requests until the load
 // balancer has noticed (BalancerLag), and waits up to the drain timeout for those
-// in progress. Then it flushes the bills and leaves the fleet.
-func (i *Instance) drain(ctx context.Context, server *http.Server) {
+// in progress, which it then ends. Then it flushes the bills and leaves the fleet.
+func (i *Instance) drain(ctx context.Context, drainer *sockets.Drainer) {
 	i.stopping.Store(true)
 	events.InstanceStopping.Log(i.log)
 	i.node.RefuseRelays()
 	delay.Sleep(ctx, i.settings.BalancerLag.Duration())
 	drainCtx, cancel := context.WithTimeout(ctx, i.settings.DrainTimeout.Duration())
 	defer cancel()
-	if err := server.Shutdown(drainCtx); err != nil {
+	drainer.Shutdown(drainCtx, func() {
 		events.DrainTimedOut.Log(i.log, zap.Int64("in_progress", i.callers.InFlight()))
-	}
+	})
 	for i.node.Relays() > 0 && delay.Sleep(drainCtx, drainCheckInterval) {
 	}
 	leaveCtx, cancelLeave := context.WithTimeout(ctx, leaveTimeout)
--- a/internal/instance/service/upstreams_test.go
+++ b/internal/instance/service/upstreams_test.go
@@ -17,6 +17,8 @@
 	// crashes counts the requests that ended the upstream, and backAt is when it has
 	// started again, in Unix nanoseconds.
 	crashes, backAt atomic.Int64
+	// hang is true while the upstream answers no request before its caller leaves.
+	hang atomic.Bool
 }
 
 const (
@@ -38,6 +40,10 @@
 		s.backAt.Store(time.Now().Add(restartTime).UnixNano())
 		panic(http.ErrAbortHandler)
 	}
+	if s.hang.Load() && r.URL.Path != "/v1/load" {
+		<-r.Context().Done()
+		return
+	}
 	r.Body = io.NopCloser(bytes.NewReader(body))
 	if limit := s.limit.Load(); limit != nil {
 		w.Header().Set("X-Load-Limit", *limit)
