Keep upstreams in use that answer 421 to one model

The first caller that still names the model of the configuration before is sent to all upstreams of that service in turn, gets 421 from each, and from then on the instance uses none of them for anyone. They come back only when they start again. Cause: each 421 was taken for another upstream at the address, the one meaning that condemns the upstream for good. It may also mean that the upstream does not serve the model, which says nothing of other requests, and which the caller or an instance with an earlier configuration may have named. Hypotheses: (1) the scope of the mark, (2) its end, (3) tries at each upstream. Change: an upstream is taken out for its life only if the answer names another one. A model that the configuration does not list for the service is tried at one upstream and then rejected as not run. The log's summary says misdirected and names the model.

--- a/internal/core/dispatch/dispatch_test.go
+++ b/internal/core/dispatch/dispatch_test.go
@@ -92,7 +92,7 @@
 // upstream may have run it, and no request runs on more upstreams than its route
 // allows.
 func TestAtMostOnce(t *testing.T) {
-	results := []Result{Served, Failed, Broken, TimedOut, Unreachable, Refused, AddressReused, Abandoned}
+	results := []Result{Served, Failed, Broken, TimedOut, Unreachable, Refused, AddressReused, Misdirected, Abandoned}
 	ran := map[Result]bool{Served: true, Failed: true, Broken: true, TimedOut: true, Abandoned: true}
 	kinds := []catalog.RouteKind{catalog.Unsafe, catalog.Safe, catalog.Streaming}
 	simulate := func(rt *rapid.T, d *Dispatcher, task *Task) (runs int) {
--- a/internal/core/dispatch/models.go
+++ b/internal/core/dispatch/models.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"mimosayard/internal/core/catalog"
@@ -95,3 +96,22 @@
 	}
 	return timeout
 }
+
+// servedModel returns the model that the task's next call runs on, empty for a service
+// without models, which ignores what a caller names.
+func (d *Dispatcher) servedModel(task *Task) tables.ModelID {
+	if !d.hasModels(task.service) {
+		return ""
+	}
+	return task.runModel()
+}
+
+// isModelKnown reports whether the configuration lists the model of the task's next call
+// among those of its service. A service that lists none may have any.
+func (d *Dispatcher) isModelKnown(task *Task) bool {
+	if !d.hasModels(task.service) {
+		return true
+	}
+	model, listed := task.runModel(), d.index.Service(task.service.name).Engine.Models
+	return len(listed) == 0 || slices.ContainsFunc(listed, func(m catalog.Model) bool { return m.Name == model })
+}
--- a/internal/core/dispatch/task.go
+++ b/internal/core/dispatch/task.go
@@ -60,6 +60,8 @@
 	// upstream, losses the number of those that were lost before their answer got past
 	// its beginning.
 	calls, arrivals, losses int
+	// misdirected is true once an upstream has rejected the request as one to another.
+	misdirected bool
 	// noRoom is the number of upstreams that had no room for the task in time.
 	noRoom int
 	// suspects are the parts that may be at fault for the crash of an upstream, nil until
@@ -144,6 +146,9 @@
 	LinkLost
 	// AddressReused is a call that reached another upstream at the address.
 	AddressReused
+	// Misdirected is a call that the upstream did not run, since it does not serve the
+	// model.
+	Misdirected
 	// Abandoned is a call that the router ended, without any fault of the
 	// upstream.
 	Abandoned
@@ -191,7 +196,7 @@
 	if task.service.waiting.mustWait(now, task) {
 		return nil, faults.New(faults.Overloaded, "others wait for room at the upstreams")
 	}
-	criteria := placement.Criteria{DataCenter: d.dataCenter, Tried: task.tried}
+	criteria := placement.Criteria{Model: d.servedModel(task), DataCenter: d.dataCenter, Tried: task.tried}
 	wait := placement.PromptWait{}
 	if task.readsPrompt() {
 		wait = d.promptWait(task, task.runModel())
@@ -405,6 +410,7 @@
 	case Served:
 		u.RecordSuccess(now)
 		u.EndDeferral(call.sentAt)
+		u.ClearMisdirection(d.servedModel(task))
 	case Failed:
 		u.RecordFailure(now, false)
 	case Broken, Mismatched, TimedOut, Unreachable:
@@ -416,6 +422,9 @@
 		}
 	case AddressReused:
 		u.MarkAddressReused()
+	case Misdirected:
+		u.RecordMisdirection(now, d.servedModel(task))
+		task.misdirected = true
 	case Abandoned, LinkLost, NoRoom:
 	}
 	if result != Served && result != Abandoned {
@@ -424,10 +433,10 @@
 	if result != Unreachable {
 		task.arrivals++
 	}
-	if result != Unreachable && result != AddressReused {
+	if result != Unreachable && result != AddressReused && result != Misdirected {
 		task.service.recordTraffic(task)
 	}
-	if result != Unreachable && result != Refused && result != AddressReused {
+	if result != Unreachable && result != Refused && result != AddressReused && result != Misdirected {
 		task.PossibleRuns++
 		task.service.recordCall(task, call, result)
 	}
@@ -517,6 +526,8 @@
 		return faults.New(faults.UpstreamFailed, "the request may have run and must not run twice")
 	case task.PossibleRuns >= max(1, route.MaxAttempts):
 		return faults.New(faults.UpstreamFailed, "the route's attempts are used up")
+	case task.misdirected && !d.isModelKnown(task):
+		return faults.New(faults.NoUpstream, "no upstream of the service has the model")
 	case task.calls >= maxCalls:
 		return faults.New(faults.NoUpstream, "too many upstreams did not take the request")
 	case task.arrivals > 0 && task.service.retries.Remaining(now, d.limits.Retries, d.instances) < 1:
--- a/internal/core/dispatch/versions.go
+++ b/internal/core/dispatch/versions.go
@@ -25,7 +25,9 @@
 	useTarget := d.onTarget(now, task, share)
 	upstreams := s.upstreamsByVersion(rollout.Target, useTarget)
 	if useTarget && s.tracker.InCanaryStage() && len(task.tried) == 0 {
-		upstreams = canaryUpstreams(upstreams, rollout.Target, share)
+		upstreams = canaryUpstreams(upstreams, rollout.Target, share, func(u *placement.Upstream) bool {
+			return u.Usable() && !u.Misdirects(now, d.servedModel(task))
+		})
 	}
 	mayUseBaseline := useTarget && s.tracker.InProgress()
 	if mayUseBaseline && (len(upstreams) == 0 || task.calls == 0 && !task.pinned && !anyHasRoom(now, upstreams)) {
@@ -92,9 +94,9 @@
 }
 
 // canaryUpstreams returns the few upstreams of the target that get its small
-// share. With few upstreams each sees the load that it would see after the
-// rollout.
-func canaryUpstreams(upstreams []*placement.Upstream, target tables.VersionID, share float64) []*placement.Upstream {
+// share, of those that are usable. With few upstreams each sees the load that it
+// would see after the rollout.
+func canaryUpstreams(upstreams []*placement.Upstream, target tables.VersionID, share float64, isUsable func(*placement.Upstream) bool) []*placement.Upstream {
 	const (
 		// headroom is the work that the canaries could take as a multiple of
 		// their share.
@@ -112,7 +114,7 @@
 	})
 	usable := sorted[:0]
 	for _, u := range sorted {
-		if u.Usable() && len(usable) < maxCanaries {
+		if len(usable) < maxCanaries && isUsable(u) {
 			usable = append(usable, u)
 		}
 	}
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -79,6 +79,8 @@
 
 	rejections rejectionLimit
 	admission  admission
+	// misdirections has at most one element for each model.
+	misdirections []misdirection
 }
 
 // Criteria are the properties of a request that decide on its upstream.
@@ -89,6 +91,8 @@
 	// Prompt is the expected wait for the start of the answer, nil for a
 	// request without a prompt.
 	Prompt *PromptWait
+	// Model is the model that the request runs on, empty for a service without models.
+	Model tables.ModelID
 	// DataCenter is the data centre whose upstreams are preferred.
 	DataCenter tables.DataCenterID
 	// Tried are the upstreams that the request has already been sent to.
@@ -332,13 +336,13 @@
 
 // Choose returns the upstream for a request, or nil if none is left, and the
 // upstream that most likely has the shared part of the prompt in its cache, nil
-// if the prompt shares nothing. Upstreams in cooldown, draining or already tried
-// are chosen only if there is no other.
+// if the prompt shares nothing. Upstreams in cooldown, draining, already tried or
+// that misdirect the model are chosen only if there is no other.
 func (c *Chooser) Choose(now time.Time, upstreams []*Upstream, criteria Criteria) (chosen, cacheHolder, source *Upstream) {
 	for t := preferred; t <= usable; t++ {
 		c.candidates = c.candidates[:0]
 		for _, u := range upstreams {
-			if u.eligible(t, now, criteria.Tried) {
+			if u.eligible(t, now, &criteria) {
 				c.candidates = append(c.candidates, u)
 			}
 		}
@@ -359,31 +363,33 @@
 
 // The tiers, most preferred first.
 const (
-	// preferred upstreams are neither in cooldown nor tried.
+	// preferred upstreams are neither in cooldown nor tried, and do not misdirect the
+	// model.
 	preferred tier = iota
 	// untried upstreams may be in cooldown.
 	untried
 	// draining upstreams still serve and were not tried.
 	draining
-	// usable upstreams may have been tried.
+	// usable upstreams may have been tried, or misdirect the model.
 	usable
 )
 
-// eligible reports whether the upstream belongs to the tier, given the
-// upstreams that the request was already sent to.
-func (u *Upstream) eligible(t tier, now time.Time, tried []tables.UpstreamID) bool {
+// eligible reports whether the upstream belongs to the tier for a request.
+func (u *Upstream) eligible(t tier, now time.Time, criteria *Criteria) bool {
 	if u.Deferred(now) || !u.HasRoom(now) {
 		return false
 	}
+	tried := len(criteria.Tried) > 0 && slices.Contains(criteria.Tried, u.ID)
+	misdirects := len(u.misdirections) > 0 && u.Misdirects(now, criteria.Model)
 	switch t {
 	case preferred:
-		return u.Usable() && u.CooldownOver(now) && (len(tried) == 0 || !slices.Contains(tried, u.ID))
+		return u.Usable() && u.CooldownOver(now) && !tried && !misdirects
 	case untried:
-		return u.Usable() && !slices.Contains(tried, u.ID)
+		return u.Usable() && !tried && !misdirects
 	case draining:
-		return u.Draining(now) && !slices.Contains(tried, u.ID)
+		return u.Draining(now) && !tried && !misdirects
 	}
-	return u.Usable()
+	return u.Usable() && !(tried && misdirects)
 }
 
 // chooseByWait returns the upstream for a prompt, its cache holder, and the
--- a/internal/core/placement/placement_test.go
+++ b/internal/core/placement/placement_test.go
@@ -156,6 +156,29 @@
 		upstreams[0].MarkAddressReused()
 		is.New(t).True(choose(upstreams, Criteria{}) == nil)
 	})
+	t.Run("an upstream that misdirects a model is not chosen for it while there is another", func(t *testing.T) {
+		is := is.New(t)
+		upstreams := newUpstreams(2)
+		upstreams[0].RecordMisdirection(now, "small")
+		for range 20 {
+			is.Equal(choose(upstreams, Criteria{Model: "small"}).ID, upstreams[1].ID)
+		}
+		upstreams[1].RecordFailure(now, true)
+		is.Equal(choose(upstreams, Criteria{Model: "small"}).ID, upstreams[1].ID)
+	})
+	t.Run("an upstream that has misdirected the request is not chosen again", func(t *testing.T) {
+		is := is.New(t)
+		upstreams := newUpstreams(1)
+		upstreams[0].RecordMisdirection(now, "small")
+		is.True(choose(upstreams, Criteria{Model: "small", Tried: []tables.UpstreamID{upstreams[0].ID}}) == nil)
+		is.True(choose(upstreams, Criteria{Model: "small"}) != nil)
+	})
+	t.Run("an upstream that misdirects a model is chosen for another", func(t *testing.T) {
+		upstreams := newUpstreams(2)
+		upstreams[0].RecordMisdirection(now, "small")
+		upstreams[1].RecordMisdirection(now, "large")
+		is.New(t).Equal(choose(upstreams, Criteria{Model: "large"}).ID, upstreams[0].ID)
+	})
 	t.Run("a draining upstream is chosen only in its grace period and if there is no other", func(t *testing.T) {
 		is := is.New(t)
 		upstreams := newUpstreams(1)
--- a/internal/edge/ingress/calls.go
+++ b/internal/edge/ingress/calls.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -141,8 +142,10 @@
 	case meta.ID != "" && meta.ID != x.metadata.ID:
 		// It may be an earlier refusal, while the upstream runs this request.
 		return dispatch.Mismatched, false, faults.New(faults.AnswerMismatched, "")
-	case response.Status == http.StatusMisdirectedRequest:
+	case response.Status == http.StatusMisdirectedRequest && meta.Upstream != "" && meta.Upstream != call.Upstream.ID:
 		return dispatch.AddressReused, false, faults.NotRun(faults.NoUpstream, "the address belongs to another upstream")
+	case response.Status == http.StatusMisdirectedRequest:
+		return dispatch.Misdirected, false, faults.NotRun(faults.NoUpstream, fmt.Sprintf("the upstream does not serve model %q", cmp.Or(call.Model, x.metadata.Model)))
 	case meta.NotExecuted:
 		return dispatch.Refused, false, faults.NotRun(faults.NoUpstream, "the upstream rejected the call without running it")
 	case meta.ID != x.metadata.ID:
--- a/internal/edge/ingress/outcomes.go
+++ b/internal/edge/ingress/outcomes.go
@@ -41,6 +41,7 @@
 	dispatch.Refused:       "refused",
 	dispatch.LinkLost:      "cut",
 	dispatch.AddressReused: "misnamed",
+	dispatch.Misdirected:   "misdirected",
 	dispatch.Abandoned:     "dropped",
 	dispatch.NoRoom:        "not admitted",
 }
--- a/internal/standin/sharedplatform/upstream.go
+++ b/internal/standin/sharedplatform/upstream.go
@@ -149,6 +149,7 @@
 	w.Header().Set("X-Attempt-Id", attemptID)
 	switch {
 	case r.Header.Get("X-Expect-Instance") != u.ID:
+		w.Header().Set("X-Instance-Id", u.ID)
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	case faults.Full, !u.occupySlot():
