Blame no version for requests that engines reject

Seen by callers of the product's own interface: a caller whose requests an engine answers with 400 got 502, after calls to three engines, and each of the calls counted as a failure of the engine and of its version. A few such requests are enough for the sequential test of errors, whose withdrawals are final. Change: 400, 413 and 422 with the request's ID are the faults bad_request and too_large, not run. They are not repeated and count against nothing. Without the ID they are failures as before.

--- a/internal/backend/upstreams/chat.go
+++ b/internal/backend/upstreams/chat.go
@@ -150,14 +150,19 @@
 type streamError struct{ error }
 
 // checkResponse returns a fault unless the response has status 200 and echoes
-// the request's ID.
+// the request's ID. A BadRequest or TooLarge fault is the engine's verdict on the
+// request, of which another engine would think no better.
 func checkResponse(response *http.Response, id string) *faults.Error {
-	switch {
-	case response.StatusCode == http.StatusTooManyRequests || response.StatusCode == http.StatusServiceUnavailable:
-		return faults.New(faults.UpstreamFailed, "upstream answered "+response.Status)
-	case response.StatusCode != http.StatusOK:
-		return faults.New(faults.UpstreamFailed, "upstream answered "+response.Status)
-	case response.Header.Get(headerRequestID) != id:
+	echoed := response.Header.Get(headerRequestID) == id
+	detail := "upstream answered " + response.Status
+	switch status := response.StatusCode; {
+	case echoed && (status == http.StatusBadRequest || status == http.StatusUnprocessableEntity):
+		return faults.New(faults.BadRequest, detail)
+	case echoed && status == http.StatusRequestEntityTooLarge:
+		return faults.New(faults.TooLarge, detail)
+	case status != http.StatusOK:
+		return faults.New(faults.UpstreamFailed, detail)
+	case !echoed:
 		return faults.New(faults.AnswerMismatched, "")
 	}
 	return nil
--- a/internal/edge/callers/attempts.go
+++ b/internal/edge/callers/attempts.go
@@ -70,11 +70,11 @@
 }
 
 // isUpstreamFailure reports whether a failed call shows a failure of the upstream. A call
-// that a caller canceled or that the instance ended does not, nor one that was lost with
-// this instance's own link.
+// that a caller canceled or that the instance ended does not, nor one whose request the
+// upstream rejected or that was lost with this instance's own link.
 func (x *exchange) isUpstreamFailure(address string, fault *faults.Error) bool {
 	switch {
-	case fault.Kind == faults.Canceled, fault.Kind == faults.Interrupted:
+	case fault.Kind == faults.Canceled, fault.Kind == faults.Interrupted, isRequestRejected(fault):
 		return false
 	case fault.Run == faults.RunNo, x.server.IsLinkLost == nil:
 		return true
@@ -82,6 +82,11 @@
 	return !x.server.IsLinkLost(address)
 }
 
+// isRequestRejected reports whether a fault is the upstream's verdict on the request.
+func isRequestRejected(fault *faults.Error) bool {
+	return fault.Kind == faults.BadRequest || fault.Kind == faults.TooLarge
+}
+
 // withRunState returns a copy of the fault whose run state covers all calls.
 func (a *attemptHistory) withRunState(fault *faults.Error) *faults.Error {
 	reported := *fault
--- a/internal/edge/callers/chat.go
+++ b/internal/edge/callers/chat.go
@@ -222,7 +222,7 @@
 			// The caller disconnected: bill the tokens generated so far.
 			c.bill(upstreams.Usage{PromptTokens: c.task.Request.PromptTokens, AnswerTokens: tables.Tokens(c.contentEvents)})
 		}
-		if x.responseStarted || attempt >= maxAttempts || ctx.Err() != nil || !x.allowsRetry(fault) {
+		if x.responseStarted || isRequestRejected(fault) || attempt >= maxAttempts || ctx.Err() != nil || !x.allowsRetry(fault) {
 			return fault
 		}
 		attempt++
--- a/internal/instance/service/upstreams_test.go
+++ b/internal/instance/service/upstreams_test.go
@@ -24,6 +24,9 @@
 const (
 	// crashingText is the text of a request that ends the upstreams that run it.
 	crashingText = "crash"
+	// rejectedText is the text of a request that upstreams reject as one that they do not
+	// understand.
+	rejectedText = "odd"
 	restartTime  = 200 * time.Millisecond
 )
 
@@ -44,6 +47,11 @@
 		<-r.Context().Done()
 		return
 	}
+	if bytes.Contains(body, []byte(rejectedText)) {
+		w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
 	r.Body = io.NopCloser(bytes.NewReader(body))
 	if limit := s.limit.Load(); limit != nil {
 		w.Header().Set("X-Load-Limit", *limit)
