Take empty answers without a length for cut ones

Reported by other operators: an upstream stopped in the middle of its answer's head and closed, and clients got a 200 with an empty or short body, framed as whole. Shown here, at both front doors, with answers that are cut at each byte: a head that is cut is always an error, whatever its line ends. But an answer without a length or chunks whose connection closes right after the head was a whole and empty one, which the caller got with a length; a stream without events likewise. Change: a successful answer that has neither a length nor chunks is incomplete if its body is empty. One that is meant to be empty says so. Answers to HEAD and status 204 have no body by their nature. Open: an answer without a length that is closed, not reset, after a part of its body can't be told from a whole one. Evidence: TestAnswersCutInTheirHeadAreNotWhole and TestAnswersCutInTheirHeadAreErrors failed before, at that cut only. The packages under backend and edge, peers and entry pass with the race detector.

--- a/internal/backend/upstreams/plain.go
+++ b/internal/backend/upstreams/plain.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"strconv"
 
+	"mimosayard/internal/backend/connect"
 	"mimosayard/internal/core/faults"
 	"mimosayard/internal/core/tables"
 )
@@ -80,6 +81,7 @@
 		return PlainResponse{}, faults.New(faults.AnswerMismatched, "")
 	}
 	call.OnLimit.report(response.Header, call.RequestID)
+	connect.RequireBody(response)
 	a.timer.Reset(c.progressTimeout())
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
 	if err != nil {
