Begin no call late in a stop that may outlast the drain

Seen by callers: a request that came in time, and is refused by an upstream or waits for room until late in the stop, is sent then and cut at the end of the drain. It could have run at another instance. Cause: the time that is left was compared with the request's only as it came. Change: the comparison is made before each call of a request that cannot have run yet. The caller is told that it has not run. Evidence: TestCallsThatMayOutlastTheDrainAreNotBegun failed before (200 after a second call, 503 wanted) and passes.

--- a/internal/edge/ingress/ingress.go
+++ b/internal/edge/ingress/ingress.go
@@ -161,11 +161,15 @@
 // can run.
 func (s *Server) rejectsNewRequest(kind catalog.RouteKind, deadline time.Time) bool {
 	sinceShutdown := s.SinceShutdown()
-	if sinceShutdown <= min(balancerWindow, s.AcceptWindow) {
-		return false
-	}
-	outlastsDrain := time.Until(deadline) > s.DrainWindow-sinceShutdown
-	return kind == catalog.Streaming || outlastsDrain || sinceShutdown > s.AcceptWindow
+	isLate := sinceShutdown > min(balancerWindow, s.AcceptWindow)
+	return isLate && kind == catalog.Streaming || sinceShutdown > s.AcceptWindow || s.outlastsDrain(deadline)
+}
+
+// outlastsDrain reports whether a call that begins now may last longer than the
+// instance, while the load balancer sends new connections to others.
+func (s *Server) outlastsDrain(deadline time.Time) bool {
+	sinceShutdown := s.SinceShutdown()
+	return sinceShutdown > min(balancerWindow, s.AcceptWindow) && time.Until(deadline) > s.DrainWindow-sinceShutdown
 }
 
 // shuttingDownFault returns the fault for a request that has not run here.
@@ -315,6 +319,10 @@
 		x.contentPart()
 	}
 	for {
+		if x.task.PossibleRuns == 0 && !x.headerWritten && x.server.outlastsDrain(x.task.Request.Deadline) {
+			x.server.Dispatcher.StopWaiting(x.task)
+			return nil, shuttingDownFault()
+		}
 		call, fault := x.server.Dispatcher.NextCall(time.Now(), x.task)
 		if fault == nil {
 			return call, nil
--- a/internal/edge/ingress/shutdown_test.go
+++ b/internal/edge/ingress/shutdown_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -41,3 +42,36 @@
 		})
 	}
 }
+
+// TestCallsThatMayOutlastTheDrainAreNotBegun guards against requests that came in time, are
+// sent late in the shutdown after a refusal, and are cut off at its end.
+func TestCallsThatMayOutlastTheDrainAreNotBegun(t *testing.T) {
+	for _, c := range []struct {
+		name, deadlineMs string
+		status           int
+	}{
+		{"the deadline is after the drain", "10000", http.StatusServiceUnavailable},
+		{"the deadline is within the drain", "1500", http.StatusOK},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			var elapsed atomic.Int64
+			elapsed.Store(int64(2 * time.Second))
+			refuseFirst := func(w http.ResponseWriter, r *http.Request) {
+				if elapsed.CompareAndSwap(int64(2*time.Second), int64(3300*time.Millisecond)) {
+					w.Header().Set("X-Not-Executed", "1")
+					w.WriteHeader(http.StatusServiceUnavailable)
+					return
+				}
+				echo(w, r)
+			}
+			ti := newTestIngress(t, refuseFirst, refuseFirst)
+			ti.server.SinceShutdown = func() time.Duration { return time.Duration(elapsed.Load()) }
+			request := ti.request(t, http.MethodPost, "/unsafe/x", "")
+			request.Header.Set("X-Deadline-Ms", c.deadlineMs)
+			response, _, err := ti.do(t, request)
+			assertStatus(t, response, err, c.status)
+			is.Equal(ti.runs.Load() == 1, c.status == http.StatusServiceUnavailable)
+		})
+	}
+}
