--- a/internal/instance/entry/links_test.go
+++ b/internal/instance/entry/links_test.go
@@ -30,6 +30,7 @@
 // A testFleet is a store, upstreams and instances in one process.
 type testFleet struct {
 	t         *testing.T
+	grace     settings.Seconds
 	subnet    string
 	store     *httptest.Server
 	upstreams []*httptest.Server
@@ -73,7 +74,13 @@
 // newTestFleet starts a store, upstreams and instances, and waits until all serve.
 func newTestFleet(t *testing.T, instances, upstreams int) *testFleet {
 	t.Helper()
-	f := &testFleet{t: t, subnet: fmt.Sprintf("127.%d.%d", 192+os.Getpid()%60, fleetCount.Add(1))}
+	return newTestFleetWithGrace(t, instances, upstreams, 2)
+}
+
+// newTestFleetWithGrace is newTestFleet with the grace period of the instances.
+func newTestFleetWithGrace(t *testing.T, instances, upstreams int, grace settings.Seconds) *testFleet {
+	t.Helper()
+	f := &testFleet{t: t, grace: grace, subnet: fmt.Sprintf("127.%d.%d", 192+os.Getpid()%60, fleetCount.Add(1))}
 	f.store = httptest.NewServer((&sharedplatform.Store{}).Handler())
 	t.Cleanup(f.store.CloseClientConnections)
 	f.putObject("config", "main", `{"version":3,"routes":[`+testRoute("safe", "safe")+`,`+testRoute("unsafe", "unsafe")+`,`+testRoute("stream", "streaming")+`,
@@ -128,7 +135,7 @@
 		PeerKey:          []byte("a key for the tests of the links"),
 		SeedPeers:        []string{f.subnet + ".10:8082", f.subnet + ".11:8082"},
 		BalancerLag:      10,
-		Shared:           &settings.SharedPlatform{StoreAddress: f.store.Listener.Addr().String(), ReadyAddress: address(8083), StopGrace: 2},
+		Shared:           &settings.SharedPlatform{StoreAddress: f.store.Listener.Addr().String(), ReadyAddress: address(8083), StopGrace: f.grace},
 	})
 	if err != nil {
 		f.t.Fatal(err)
