--- a/internal/instance/service/links_test.go
+++ b/internal/instance/service/links_test.go
@@ -155,12 +155,17 @@
 
 // send sends a request to an instance.
 func (f *testFleet) send(index int, path, body string) (*http.Response, error) {
+	return f.sendOn(http.DefaultClient, index, path, body)
+}
+
+// sendOn sends a request to an instance on the connections of a client.
+func (f *testFleet) sendOn(client *http.Client, index int, path, body string) (*http.Response, error) {
 	request, err := http.NewRequestWithContext(f.t.Context(), http.MethodPost, "http://"+f.instances[index].callers+path, strings.NewReader(body))
 	if err != nil {
 		return nil, err
 	}
 	request.Header.Set("Authorization", "Bearer team")
-	return http.DefaultClient.Do(request)
+	return client.Do(request)
 }
 
 // post sends a request to an instance and returns the status, zero if the answer is not
--- a/internal/instance/service/upstreams_test.go
+++ b/internal/instance/service/upstreams_test.go
@@ -17,6 +17,8 @@
 	// crashes counts the requests that ended the upstream, and backAt is when it has
 	// started again, in Unix nanoseconds.
 	crashes, backAt atomic.Int64
+	// work is how long each request takes. It must be set before the first one.
+	work time.Duration
 	// hang is true while the upstream answers no request before its caller leaves.
 	hang atomic.Bool
 }
@@ -47,6 +49,9 @@
 		<-r.Context().Done()
 		return
 	}
+	if r.URL.Path != "/v1/load" {
+		time.Sleep(s.work)
+	}
 	if bytes.Contains(body, []byte(rejectedText)) {
 		w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
 		w.WriteHeader(http.StatusBadRequest)
