--- a/internal/instance/entry/restore_test.go
+++ b/internal/instance/entry/restore_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -73,6 +74,29 @@
 	f.assertInForce("/added/x")
 }
 
+// TestConfigurationRightAfterARestoreIsInForce is the same for an instance without peers, whose
+// next watch may be renewed at any time within a cycle.
+func TestConfigurationRightAfterARestoreIsInForce(t *testing.T) {
+	const (
+		phases = 6
+		step   = 350 * time.Millisecond
+	)
+	for phase := range phases {
+		t.Run(strconv.Itoa(phase), func(t *testing.T) {
+			t.Parallel()
+			f := newTestFleet(t, 1, 1)
+			f.administer(http.MethodPut, "backup")
+			time.Sleep(time.Duration(phase) * step)
+			f.putConfig("4", "lost")
+			f.await("the route to be lost is served", func() bool { return f.allServe("/lost/x") })
+			time.Sleep(50 * time.Millisecond)
+			f.administer(http.MethodPost, "restore")
+			f.putConfig("7", "added")
+			f.assertInForce("/added/x")
+		})
+	}
+}
+
 // assertInForce asserts that a route that was just acknowledged is served by all instances in time.
 func (f *testFleet) assertInForce(path string) {
 	f.t.Helper()
