Keep an owner that answers late

Cause: an instance took the one that admits all calls to an upstream for lost as soon as one of its answers came later than 350 ms after the wait, and another for the owner for 3 s. Two owners admit more than the upstream runs. The trace of seven copies of the tests at once: 4 to 74 such losses in each, all of the listed ones our own time-outs of an open connection or of a dial, none a refusal. Change: an answer that does not come in time is no loss. The call was not sent and goes to another upstream. An owner that answers nothing for 1 s is replaced as before. Evidence: TestLateOwners and TestLatePeersAreNotTakenForLost; what they hold did not exist before.

--- a/internal/backend/connect/admission.go
+++ b/internal/backend/connect/admission.go
@@ -32,6 +32,8 @@
 	ErrNoRoom = errors.New("the upstream has no room in time")
 	// ErrOwnerLost is returned if the instance that admits the calls could not be reached.
 	ErrOwnerLost = errors.New("the instance that admits the calls could not be reached")
+	// ErrOwnerLate is returned if the instance that admits the calls did not answer in time.
+	ErrOwnerLate = errors.New("the instance that admits the calls did not answer in time")
 )
 
 type admissionKey struct{}
@@ -77,7 +79,7 @@
 	switch {
 	case err == nil:
 		return &peerConn{Conn: conn, peer: a.Owner, closed: func() {}}, nil
-	case ctx.Err() != nil, errors.Is(err, ErrNoRoom), errors.Is(err, links.ErrUnreachable):
+	case ctx.Err() != nil, errors.Is(err, ErrNoRoom), errors.Is(err, links.ErrUnreachable), errors.Is(err, ErrOwnerLate):
 		return nil, trace.Wrap(err)
 	}
 	return nil, trace.Wrap(errors.Join(ErrOwnerLost, err))
--- a/internal/backend/connect/connect.go
+++ b/internal/backend/connect/connect.go
@@ -36,7 +36,7 @@
 	// Through connects through a peer.
 	Through func(ctx context.Context, peer tables.InstanceID, address string) (net.Conn, error)
 	// ThroughOwner connects through a peer once that has room for a call to the upstream. It
-	// returns ErrNoRoom if it has none within the wait.
+	// returns ErrNoRoom if it has none within the wait, and ErrOwnerLate if it does not answer.
 	ThroughOwner func(ctx context.Context, owner tables.InstanceID, address string, wait time.Duration) (net.Conn, error)
 	// SendRejection tells an owner that the upstream has rejected a call that it admitted.
 	SendRejection func(ctx context.Context, owner tables.InstanceID, address string)
--- a/internal/core/dispatch/room.go
+++ b/internal/core/dispatch/room.go
@@ -145,6 +145,29 @@
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	d.owners.Avoid(now, call.Owner)
+	d.replaceOwner(now, call)
+}
+
+// RecordOwnerLate records that the instance that admits the calls to the upstream of a call did
+// not answer in time. Another one takes its place if that lasts.
+func (d *Dispatcher) RecordOwnerLate(now time.Time, call *Call) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if d.owners.RecordLate(now, call.Owner) {
+		d.replaceOwner(now, call)
+	}
+}
+
+// RecordOwnerAnswer records that the instance that admits the calls to the upstream of a call
+// has answered.
+func (d *Dispatcher) RecordOwnerAnswer(call *Call) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.owners.RecordAnswer(call.Owner)
+}
+
+// replaceOwner sets the owner of the upstream of a call by the members that can be reached.
+func (d *Dispatcher) replaceOwner(now time.Time, call *Call) {
 	if _, owned := call.upstream.Owner(); owned {
 		call.upstream.SetOwner(d.owners.Of(now, call.Upstream.ID))
 	}
--- a/internal/core/pacing/owners.go
+++ b/internal/core/pacing/owners.go
@@ -16,6 +16,8 @@
 	members []tables.InstanceID
 	// avoided are the members that could not be reached, until they are asked again.
 	avoided map[tables.InstanceID]time.Time
+	// silentSince are the members that did not answer in time, and when that began.
+	silentSince map[tables.InstanceID]time.Time
 }
 
 // avoidTime is how long a member that could not be reached owns nothing here. By then the fleet
@@ -25,6 +27,11 @@
 // Set sets the members that are up, and which of them this instance is.
 func (o *Owners) Set(self tables.InstanceID, members []tables.InstanceID) {
 	o.self, o.members = self, members
+	for member := range o.silentSince {
+		if !slices.Contains(members, member) {
+			delete(o.silentSince, member)
+		}
+	}
 }
 
 // Avoid records that a member could not be reached.
@@ -35,6 +42,33 @@
 	o.avoided[member] = now.Add(avoidTime)
 }
 
+// maxSilence is how long a member may be late before it counts as one that could not be reached.
+// Until then it may still admit calls of others, and two owners would admit too many.
+const maxSilence = time.Second
+
+// RecordLate records that a member did not answer in time, and reports whether it counts as one
+// that could not be reached, since it has answered nothing for maxSilence.
+func (o *Owners) RecordLate(now time.Time, member tables.InstanceID) bool {
+	since, silent := o.silentSince[member]
+	if !silent {
+		if o.silentSince == nil {
+			o.silentSince = map[tables.InstanceID]time.Time{}
+		}
+		o.silentSince[member] = now
+		return false
+	}
+	if now.Sub(since) < maxSilence {
+		return false
+	}
+	o.Avoid(now, member)
+	return true
+}
+
+// RecordAnswer records that a member has answered.
+func (o *Owners) RecordAnswer(member tables.InstanceID) {
+	delete(o.silentSince, member)
+}
+
 // Of returns the owner of an upstream, empty if it is this instance.
 func (o *Owners) Of(now time.Time, upstream tables.UpstreamID) tables.InstanceID {
 	owner, highest := o.self, uint64(0)
--- a/internal/core/pacing/semaphore_test.go
+++ b/internal/core/pacing/semaphore_test.go
@@ -167,3 +167,40 @@
 	var alone Owners
 	is.Equal(alone.Of(start, "u"), tables.InstanceID(""))
 }
+
+// TestLateOwners guards against two owners of an upstream, since one was late and others took
+// it for lost, and against an owner that is asked on though it answers nothing.
+func TestLateOwners(t *testing.T) {
+	members := []tables.InstanceID{"a", "b"}
+	newOwners := func() *Owners {
+		o := &Owners{}
+		o.Set("a", members)
+		return o
+	}
+	t.Run("a late owner keeps its upstreams", func(t *testing.T) {
+		is := is.New(t)
+		o := newOwners()
+		is.True(!o.RecordLate(start, "b"))
+		is.True(!o.RecordLate(start.Add(maxSilence-1), "b"))
+	})
+	t.Run("an owner that answers nothing is replaced", func(t *testing.T) {
+		is := is.New(t)
+		o := newOwners()
+		o.RecordLate(start, "b")
+		is.True(o.RecordLate(start.Add(maxSilence), "b"))
+		is.Equal(o.Of(start.Add(maxSilence), "u"), tables.InstanceID(""))
+	})
+	t.Run("an answer between late ones", func(t *testing.T) {
+		is := is.New(t)
+		o := newOwners()
+		o.RecordLate(start, "b")
+		o.RecordAnswer("b")
+		is.True(!o.RecordLate(start.Add(maxSilence), "b"))
+	})
+	t.Run("a member that has left is forgotten", func(t *testing.T) {
+		o := newOwners()
+		o.RecordLate(start, "b")
+		o.Set("a", members[:1])
+		is.New(t).Equal(len(o.silentSince), 0)
+	})
+}
--- a/internal/edge/ingress/calls.go
+++ b/internal/edge/ingress/calls.go
@@ -129,8 +129,8 @@
 	if errors.Is(sendErr, syscall.ECONNREFUSED) {
 		x.server.Dispatcher.RecordConnectionRefused(time.Now(), call)
 	}
-	if errors.Is(sendErr, connect.ErrOwnerLost) {
-		x.server.Dispatcher.RecordOwnerLost(time.Now(), call)
+	if call.Owner != "" {
+		x.recordOwner(ctx, call, sendErr)
 	}
 	if sendErr != nil {
 		return x.classifyCallError(ctx, sendErr)
@@ -167,6 +167,18 @@
 	return dispatch.Served, true, x.writeBuffered(buffered)
 }
 
+// recordOwner records whether the instance that admits the call has answered.
+func (x *exchange) recordOwner(ctx context.Context, call *dispatch.Call, sendErr error) {
+	switch {
+	case errors.Is(sendErr, connect.ErrOwnerLost):
+		x.server.Dispatcher.RecordOwnerLost(time.Now(), call)
+	case errors.Is(sendErr, connect.ErrOwnerLate):
+		x.server.Dispatcher.RecordOwnerLate(time.Now(), call)
+	case ctx.Err() == nil:
+		x.server.Dispatcher.RecordOwnerAnswer(call)
+	}
+}
+
 // recordUpstreamState records what the upstream says of itself. An answer from another
 // upstream at the address, or to another request, says nothing of it.
 func (x *exchange) recordUpstreamState(call *dispatch.Call, meta platform.ResponseMetadata) {
@@ -235,7 +247,7 @@
 		return dispatch.Abandoned, false, faults.New(faults.Interrupted, "")
 	case x.request.Context().Err() != nil:
 		return dispatch.Abandoned, true, errCallerDisconnected
-	case errors.Is(err, connect.ErrNoRoom), errors.Is(err, connect.ErrOwnerLost):
+	case errors.Is(err, connect.ErrNoRoom), errors.Is(err, connect.ErrOwnerLost), errors.Is(err, connect.ErrOwnerLate):
 		return dispatch.NoRoom, false, faults.NotRun(faults.Overloaded, "no room in time")
 	case errors.Is(err, forward.ErrNotConnected):
 		return dispatch.Unreachable, false, faults.NotRun(faults.UpstreamFailed, "the upstream could not be reached: "+connectFailure(err))
--- a/internal/fleet/peers/relay.go
+++ b/internal/fleet/peers/relay.go
@@ -1,6 +1,7 @@
 package peers
 
 import (
+	"cmp"
 	"context"
 	"crypto/rand"
 	"encoding/binary"
@@ -93,6 +94,9 @@
 // ErrRelayRefused is returned for a connection that a peer does not relay.
 var ErrRelayRefused = errors.New("the peer relays no connection to the upstream")
 
+// ErrRelayLate is returned for a connection to which a peer does not answer in time.
+var ErrRelayLate = errors.New("the peer did not answer in time")
+
 // RelayPeers returns the members that may relay connections.
 func (n *Node) RelayPeers() []links.Peer {
 	n.init()
@@ -126,7 +130,8 @@
 }
 
 // DialThroughOwner is like DialThrough, but the peer first waits for room for a call to the
-// upstream. It returns ErrRelayRefused if there is none in that time.
+// upstream. It returns ErrRelayRefused if there is none in that time, and ErrRelayLate if the
+// peer does not answer.
 func (n *Node) DialThroughOwner(ctx context.Context, id tables.InstanceID, address string, wait time.Duration) (net.Conn, error) {
 	return n.openRelay(ctx, id, relayOpen{Address: address, WaitMs: wait.Milliseconds()})
 }
@@ -143,6 +148,7 @@
 // openRelay sends a request for a relayed connection to a peer, and returns the connection.
 func (n *Node) openRelay(ctx context.Context, id tables.InstanceID, request relayOpen) (net.Conn, error) {
 	n.init()
+	caller := ctx
 	ctx, cancel := context.WithTimeout(ctx, relayOpenTimeout+time.Duration(request.WaitMs)*time.Millisecond)
 	defer cancel()
 	n.mutex.Lock()
@@ -153,6 +159,10 @@
 	}
 	raw, err := sockets.Dialer(relayOpenTimeout).DialContext(ctx, "tcp", peer.Address)
 	if err != nil {
+		var network net.Error
+		if caller.Err() == nil && errors.As(err, &network) && network.Timeout() {
+			err = ErrRelayLate
+		}
 		return nil, trace.Wrap(err)
 	}
 	c := &relayConn{raw: raw, conn: drpcconn.New(countingConn{Conn: raw, counters: &n.counters}), encoding: n.encoding(), session: newSession()}
@@ -161,8 +171,9 @@
 	request.From, request.Epoch, request.Sequence = n.Self.ID, n.Self.Epoch, n.relaySequence.Add(1)
 	request.To, request.ToEpoch = peer.ID, peer.Epoch
 	err = c.open(context.WithoutCancel(ctx), &request)
-	if !stop() && err == nil {
-		err = ctx.Err()
+	if !stop() {
+		// The close of the connection at the end of ctx may be the error.
+		err = cmp.Or(caller.Err(), ErrRelayLate)
 	}
 	if err != nil {
 		_ = c.Close()
--- a/internal/fleet/peers/relay_test.go
+++ b/internal/fleet/peers/relay_test.go
@@ -351,3 +351,28 @@
 	after := p.from.node.Stats()
 	b.ReportMetric(float64(after.SentBytes+after.ReceivedBytes-before.SentBytes-before.ReceivedBytes)/float64(b.N), "bytes/op")
 }
+
+// TestLatePeersAreNotTakenForLost guards against a peer that counts as lost since it has not
+// connected to the upstream in time.
+func TestLatePeersAreNotTakenForLost(t *testing.T) {
+	t.Run("the peer does not connect in time", func(t *testing.T) {
+		p := newRelayPair(t, func(context.Context, string) (net.Conn, error) {
+			time.Sleep(2 * relayOpenTimeout)
+			return nil, ErrRelayRefused
+		})
+		_, err := p.dial(t)
+		is.New(t).True(errors.Is(err, ErrRelayLate))
+	})
+	t.Run("the caller leaves before", func(t *testing.T) {
+		is := is.New(t)
+		p := newRelayPair(t, func(context.Context, string) (net.Conn, error) {
+			time.Sleep(2 * relayOpenTimeout)
+			return nil, ErrRelayRefused
+		})
+		ctx, cancel := context.WithTimeout(t.Context(), relayOpenTimeout/4)
+		defer cancel()
+		_, err := p.from.node.DialThrough(ctx, p.through.node.Self.ID, p.address)
+		is.True(err != nil)
+		is.True(!errors.Is(err, ErrRelayLate))
+	})
+}
--- a/internal/instance/uplinks/uplinks.go
+++ b/internal/instance/uplinks/uplinks.go
@@ -56,8 +56,11 @@
 	}
 	dialer.ThroughOwner = func(ctx context.Context, owner tables.InstanceID, address string, wait time.Duration) (net.Conn, error) {
 		conn, err := o.Node.DialThroughOwner(ctx, owner, address, wait)
-		if errors.Is(err, peers.ErrRelayRefused) {
+		switch {
+		case errors.Is(err, peers.ErrRelayRefused):
 			return nil, connect.ErrNoRoom
+		case errors.Is(err, peers.ErrRelayLate):
+			return nil, connect.ErrOwnerLate
 		}
 		return conn, err
 	}
