Keep an answer late in a stop that a larger model would improve

Cause: an answer with little confidence is dropped for that of a larger model, also when that may be cut at the end of the drain. Change: the answer is kept where a new call might outlast the drain. Evidence: TestAnswersAreNotDroppedLateInAStop failed before (the larger model's answer) and passes; the package passes with the race detector.

--- a/internal/edge/ingress/calls.go
+++ b/internal/edge/ingress/calls.go
@@ -207,10 +207,11 @@
 }
 
 // escalationConfidence returns the confidence by which the dispatcher decides
-// whether to escalate to a larger model. It is -1 if the caller already has a
-// part of the response, which can then no longer be dropped.
+// whether to escalate to a larger model. It is -1 if the response is kept in any
+// case, since the caller already has a part of it, or since that of a larger model
+// might be cut at the end of the drain.
 func (x *exchange) escalationConfidence(meta platform.ResponseMetadata) int {
-	if x.headerWritten {
+	if x.headerWritten || x.server.outlastsDrain(x.task.Request.Deadline) {
 		return -1
 	}
 	return meta.Confidence
--- a/internal/edge/ingress/shutdown_test.go
+++ b/internal/edge/ingress/shutdown_test.go
@@ -75,3 +75,34 @@
 		})
 	}
 }
+
+// TestAnswersAreNotDroppedLateInAStop guards against a stream that is dropped for a larger
+// model's, which is then cut at the end of the drain.
+func TestAnswersAreNotDroppedLateInAStop(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		elapsed time.Duration
+		model   string
+	}{
+		{"a usual time", 0, "large"},
+		{"late in a stop", 3300 * time.Millisecond, "small"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var elapsed atomic.Int64
+			ti := newTestIngress(t, func(w http.ResponseWriter, r *http.Request) {
+				elapsed.Store(int64(c.elapsed))
+				w.Header().Set("X-Confidence", "0")
+				startEvents(w, r, r.Header.Get("X-Model"))
+				sendEvents(w, 1, 3)
+			})
+			ti.setModels(2, "small", "large")
+			ti.server.SinceShutdown = func() time.Duration { return time.Duration(elapsed.Load()) }
+			request := ti.request(t, http.MethodPost, "/sized/x", "")
+			request.Header.Set("X-Model", "*")
+			request.Header.Set("X-Token-Count", "100,10")
+			response, _, err := ti.do(t, request)
+			assertStatus(t, response, err, http.StatusOK)
+			is.New(t).Equal(response.Header.Get("X-Server-Stamp"), c.model)
+		})
+	}
+}
