--- a/internal/backend/upstreams/upstreams.go
+++ b/internal/backend/upstreams/upstreams.go
@@ -165,9 +165,9 @@
 // classifyError returns the fault for a failed call. It is a timeout if the
 // call made no progress or reached its deadline, an interruption if the instance
 // stops, a cancellation if the context ended for another reason, and otherwise a
-// failure of the upstream. The
-// fault's run state is RunNo only if the call never got a connection. A timeout
-// also closes the idle connections to the address, which may be dead too.
+// failure of the upstream. The fault's run state is RunNo only if the call never got
+// a connection. A timeout also closes the idle connections to the address, which may
+// be dead too.
 func (c *Client) classifyError(ctx context.Context, a *attempt, address string, err error) *faults.Error {
 	kind := faults.UpstreamFailed
 	switch cause := context.Cause(ctx); {
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -389,7 +389,7 @@
 	case draining:
 		return u.Draining(now) && !tried && !misdirects
 	}
-	return u.Usable() && !(tried && misdirects)
+	return u.Usable() && (!tried || !misdirects)
 }
 
 // chooseByWait returns the upstream for a prompt, its cache holder, and the
--- a/internal/edge/ingress/ingress.go
+++ b/internal/edge/ingress/ingress.go
@@ -45,7 +45,7 @@
 	// requests are still accepted.
 	AcceptWindow time.Duration
 	// DrainWindow is the time after the start of shutdown at which requests in
-	// progress end. It must be longer than AcceptWindow.
+	// progress end.
 	DrainWindow time.Duration
 
 	inFlight atomic.Int64
--- a/internal/instance/service/stops_test.go
+++ b/internal/instance/service/stops_test.go
@@ -22,12 +22,53 @@
 // stopSeeds is the number of drawn stops that TestStopsLoseNoRequest plays.
 var stopSeeds = flag.Int("stops", 3, "number of drawn stops")
 
-// A stopOutcome is the end of one request that must not be repeated.
-type stopOutcome struct {
-	sentAt time.Time
-	// status is zero if the connection ended before the end of an answer.
-	status int
-	body   string
+// A stopCase is a stop of an instance whose callers keep their connections open until the
+// instance has ended.
+type stopCase struct {
+	*testFleet
+	seed uint64
+	// lag and drain are the settings of the stop.
+	lag, drain tables.Millis
+
+	mutex sync.Mutex
+	// answered is the number of requests of which the caller knows that they may have run.
+	answered int64
+}
+
+// newStopCase draws the settings of the stop and the time that the upstream takes.
+func newStopCase(t *testing.T, seed uint64) *stopCase {
+	t.Helper()
+	random := rand.New(rand.NewPCG(seed, 1))
+	c := &stopCase{seed: seed, lag: tables.Millis(100 + random.IntN(400)), drain: tables.Millis(200 + random.IntN(1200))}
+	c.testFleet = newTestFleetWithSettings(t, 1, settings.Settings{BalancerLag: c.lag, DrainTimeout: c.drain})
+	c.deskServer.work = time.Duration(10<<random.IntN(8)) * time.Millisecond
+	return c
+}
+
+// runCaller sends requests that must not be repeated on one connection.
+func (c *stopCase) runCaller(ctx context.Context, number int) error {
+	pauses := rand.New(rand.NewPCG(c.seed, uint64(number+2)))
+	client := &http.Client{Transport: &http.Transport{MaxConnsPerHost: 1}}
+	defer client.CloseIdleConnections()
+	for ctx.Err() == nil {
+		if response, err := c.sendOn(client, 0, "/services/orders/deposits", `{}`); err == nil {
+			c.countAnswer(response)
+		}
+		time.Sleep(time.Duration(pauses.IntN(200)) * time.Millisecond)
+	}
+	return nil
+}
+
+// countAnswer counts an answer, unless it is cut or says that the request has not run.
+func (c *stopCase) countAnswer(response *http.Response) {
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	if err != nil || strings.Contains(string(body), `"run":"no"`) {
+		return
+	}
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.answered++
 }
 
 // TestStopsLoseNoRequest guards against requests that an instance passes on and leaves without
@@ -39,53 +80,22 @@
 		t.Run(strconv.Itoa(seed), func(t *testing.T) {
 			t.Parallel()
 			is := is.New(t)
-			random := rand.New(rand.NewPCG(uint64(seed), 1))
-			lag, drain := 100+random.IntN(400), 200+random.IntN(1200)
-			f := newTestFleetWithSettings(t, 1, settings.Settings{BalancerLag: tables.Millis(lag), DrainTimeout: tables.Millis(drain)})
-			f.deskServer.work = time.Duration(10<<random.IntN(8)) * time.Millisecond
+			c := newStopCase(t, uint64(seed))
+			before := c.deskServer.arrivals.Load()
 			ctx, cancel := context.WithCancel(t.Context())
 			defer cancel()
-			var mutex sync.Mutex
-			var outcomes []stopOutcome
-			before := f.deskServer.arrivals.Load()
 			group := &errgroup.Group{}
 			for n := range callers {
-				pauses := rand.New(rand.NewPCG(uint64(seed), uint64(n+2)))
-				group.Go(func() error {
-					client := &http.Client{Transport: &http.Transport{MaxConnsPerHost: 1}}
-					defer client.CloseIdleConnections()
-					for ctx.Err() == nil {
-						o := stopOutcome{sentAt: time.Now()}
-						if response, err := f.sendOn(client, 0, "/services/orders/deposits", `{}`); err == nil {
-							var body []byte
-							if body, err = io.ReadAll(response.Body); err == nil {
-								o.status, o.body = response.StatusCode, string(body)
-							}
-							_ = response.Body.Close()
-						}
-						mutex.Lock()
-						outcomes = append(outcomes, o)
-						mutex.Unlock()
-						time.Sleep(time.Duration(pauses.IntN(200)) * time.Millisecond)
-					}
-					return nil
-				})
+				group.Go(func() error { return c.runCaller(ctx, n) })
 			}
 			time.Sleep(300 * time.Millisecond)
-			f.instances[0].stop()
-			time.Sleep(time.Duration(lag+drain+600) * time.Millisecond)
+			c.instances[0].stop()
+			time.Sleep(c.lag.Duration() + c.drain.Duration() + 600*time.Millisecond)
 			cancel()
 			is.NoErr(group.Wait())
-			ran := f.deskServer.arrivals.Load() - before
-			answered := int64(0)
-			for _, o := range outcomes {
-				mayHaveRun := o.status != 0 && !strings.Contains(o.body, `"run":"no"`)
-				if mayHaveRun {
-					answered++
-				}
-			}
-			t.Logf("lag %d ms, drain %d ms, work %v: %d requests ran", lag, drain, f.deskServer.work, ran)
-			is.Equal(answered, ran)
+			ran := c.deskServer.arrivals.Load() - before
+			t.Logf("lag %v, drain %v, work %v: %d requests ran", c.lag.Duration(), c.drain.Duration(), c.deskServer.work, ran)
+			is.Equal(c.answered, ran)
 		})
 	}
 }
