--- a/internal/evaluation/processes/harness_test.go
+++ b/internal/evaluation/processes/harness_test.go
@@ -334,18 +334,26 @@
 // put sends a PUT request and fails the test unless the status is 200.
 func (f *fleet) put(url, body string) {
 	f.t.Helper()
+	if err := f.tryPut(url, body); err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+// tryPut sends a PUT request and returns an error unless the status is 200.
+func (f *fleet) tryPut(url, body string) error {
 	request, err := http.NewRequest(http.MethodPut, url, strings.NewReader(body))
 	if err != nil {
-		f.t.Fatal(err)
+		return err
 	}
 	response, err := httpClient.Do(request)
 	if err != nil {
-		f.t.Fatal(err)
+		return err
 	}
 	defer response.Body.Close()
 	if response.StatusCode != http.StatusOK {
-		f.t.Fatalf("PUT %s: status %s", url, response.Status)
+		return fmt.Errorf("PUT %s: status %s", url, response.Status)
 	}
+	return nil
 }
 
 // startProgram starts a program, which is killed at the end of the test. The
--- a/internal/evaluation/processes/sharedplatform_test.go
+++ b/internal/evaluation/processes/sharedplatform_test.go
@@ -100,6 +100,12 @@
 func (f *sharedFleet) putConfiguration(keys ...string) {
 	f.t.Helper()
 	f.configVersion += 3
+	f.putObject("config", "main", f.configuration(keys...))
+}
+
+// configuration returns the configuration of the present version.
+func (f *sharedFleet) configuration(keys ...string) string {
+	f.t.Helper()
 	keysJSON, err := json.Marshal(keys)
 	if err != nil {
 		f.t.Fatal(err)
@@ -108,16 +114,20 @@
 		return fmt.Sprintf(`{"name":"r-%s","hostname":%q,"path_prefix":"/%s/","kind":%q,"timeout_ms":20000,
 			"target_latency_ms":1000,"service":"s","max_attempts":3,"resumable":true}`, kind, sharedHost, kind, kind)
 	}
-	f.putObject("config", "main", fmt.Sprintf(`{"version":%d,"routes":[%s,%s,%s],"services":[{"name":"s"}],
+	return fmt.Sprintf(`{"version":%d,"routes":[%s,%s,%s],"services":[{"name":"s"}],
 		"limits":{"max_header_bytes":16384,"max_body_bytes":65536,"header_timeout_ms":3000,"idle_timeout_ms":15000},
 		"tenants":[{"name":"team","api_keys":%s}]}`,
-		f.configVersion, route("safe"), route("unsafe"), strings.Replace(route("streaming"), "/streaming/", "/stream/", 1), keysJSON))
+		f.configVersion, route("safe"), route("unsafe"), strings.Replace(route("streaming"), "/streaming/", "/stream/", 1), keysJSON)
 }
 
 // putObject writes an object to the store.
 func (f *sharedFleet) putObject(kind, name, spec string) {
 	f.t.Helper()
-	f.put(fmt.Sprintf("%s/objects/%s/%s", f.platformURL(), kind, name), `{"metadata":{},"spec":`+spec+`}`)
+	f.put(f.objectURL(kind, name), `{"metadata":{},"spec":`+spec+`}`)
+}
+
+func (f *sharedFleet) objectURL(kind, name string) string {
+	return fmt.Sprintf("%s/objects/%s/%s", f.platformURL(), kind, name)
 }
 
 // newRequest returns a request to an instance, with a new ID.
