Announce the close of connections as answers are written

Cause: Connection: close was set as a request came. Change: the header is set as the response's header is written.

--- a/internal/edge/callers/answer.go
+++ b/internal/edge/callers/answer.go
@@ -87,7 +87,7 @@
 // write writes a part of the response within ClientIOTimeout. A failed
 // write is a Canceled fault, since the caller has disconnected.
 func (x *exchange) write(data []byte) error {
-	x.setWriteDeadline()
+	x.prepareWrite()
 	x.responseStarted = true
 	if _, err := x.writer.Write(data); err != nil {
 		return faults.New(faults.Canceled, err.Error())
--- a/internal/edge/callers/faults.go
+++ b/internal/edge/callers/faults.go
@@ -48,7 +48,7 @@
 	if err != nil {
 		encoded = []byte(`{"error":{"type":"internal","run":"unknown"}}`)
 	}
-	x.setWriteDeadline()
+	x.prepareWrite()
 	if x.responseStarted && x.writer.Header().Get("Content-Type") != eventStream {
 		return
 	}
--- a/internal/edge/callers/plain.go
+++ b/internal/edge/callers/plain.go
@@ -217,7 +217,7 @@
 			header.Set(name, value)
 		}
 	}
-	x.setWriteDeadline()
+	x.prepareWrite()
 	x.responseStarted = true
 	x.writer.WriteHeader(answer.Status)
 	if _, err := x.writer.Write(answer.Body); err != nil {
--- a/internal/edge/callers/server.go
+++ b/internal/edge/callers/server.go
@@ -136,9 +136,6 @@
 			arrivedAt: time.Now(),
 		}
 		w.Header().Set(headerRequestID, x.requestID)
-		if s.Stopping != nil && s.Stopping() {
-			w.Header().Set("Connection", "close")
-		}
 		err := x.authenticate()
 		if err == nil {
 			err = serve(x)
@@ -217,6 +214,11 @@
 	_ = http.NewResponseController(x.writer).SetReadDeadline(time.Now().Add(x.server.ClientIOTimeout))
 }
 
-func (x *exchange) setWriteDeadline() {
+// prepareWrite sets the deadline of a write. If the response has not begun and the
+// instance is to stop, the response closes its connection.
+func (x *exchange) prepareWrite() {
+	if !x.responseStarted && x.server.Stopping != nil && x.server.Stopping() {
+		x.writer.Header().Set("Connection", "close")
+	}
 	_ = http.NewResponseController(x.writer).SetWriteDeadline(time.Now().Add(x.server.ClientIOTimeout))
 }
--- a/internal/edge/ingress/calls.go
+++ b/internal/edge/ingress/calls.go
@@ -287,8 +287,8 @@
 	return nil
 }
 
-// copyHeader copies the headers of an upstream's response. Setting Content-Type
-// and Date to nil keeps net/http from adding its own.
+// copyHeader copies the headers of an upstream's response, right before they are
+// written. Setting Content-Type and Date to nil keeps net/http from adding its own.
 func (x *exchange) copyHeader(from http.Header) {
 	header := x.writer.Header()
 	for name, values := range platform.ResponseHeader(from) {
@@ -299,6 +299,15 @@
 			header[name] = nil
 		}
 	}
+	x.closeIfStopping()
+}
+
+// closeIfStopping makes the response, whose header is about to be written, close the
+// connection if the instance is shutting down.
+func (x *exchange) closeIfStopping() {
+	if x.server.SinceShutdown() > 0 {
+		x.writer.Header().Set("Connection", "close")
+	}
 }
 
 func (x *exchange) setWriteDeadline() {
--- a/internal/edge/ingress/ingress.go
+++ b/internal/edge/ingress/ingress.go
@@ -127,9 +127,6 @@
 		arrived:    time.Now(),
 		metadata:   platform.ParseRequestHeader(request.Header),
 	}
-	if s.SinceShutdown() > 0 {
-		w.Header().Set("Connection", "close")
-	}
 	x.finish(x.serve())
 }
 
--- a/internal/edge/ingress/outcomes.go
+++ b/internal/edge/ingress/outcomes.go
@@ -64,6 +64,7 @@
 	if response.RetryAfter > 0 && response.Run == faults.RunNo {
 		header.Set("Retry-After", strconv.FormatFloat(response.RetryAfter.Seconds(), 'f', 2, 64))
 	}
+	x.closeIfStopping()
 	x.setWriteDeadline()
 	x.writer.WriteHeader(response.Status)
 	_, _ = x.writer.Write(body)
--- a/internal/edge/ingress/shutdown_test.go
+++ b/internal/edge/ingress/shutdown_test.go
@@ -106,3 +106,26 @@
 		})
 	}
 }
+
+// TestAnswersAfterTheSignalCloseTheirConnections guards against a caller that sends its next
+// request on a connection that is about to be closed, since the request before came in time.
+func TestAnswersAfterTheSignalCloseTheirConnections(t *testing.T) {
+	for name, handler := range map[string]http.HandlerFunc{
+		"an answer": echo,
+		"a stream":  func(w http.ResponseWriter, r *http.Request) { startEvents(w, r, "stamp"); sendEvents(w, 1, 3) },
+		"a failure": func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var elapsed atomic.Int64
+			ti := newTestIngress(t, func(w http.ResponseWriter, r *http.Request) {
+				elapsed.Store(int64(time.Millisecond))
+				handler(w, r)
+			})
+			ti.server.SinceShutdown = func() time.Duration { return time.Duration(elapsed.Load()) }
+			response, _, err := ti.get(t, "/unsafe/x")
+			is.NoErr(err)
+			is.True(response.Close)
+		})
+	}
+}
