Count late answers of an owner only if they follow each other

Cause: the time of the first late answer was kept until an answer came, however long nobody asked. Change: late answers further apart than two times the time for which a lost member is avoided begin anew. The state is named after what it is, lateness. Evidence: the case "late answers far apart" of TestLateOwners failed before; pacing and dispatch pass.

--- a/internal/core/pacing/owners.go
+++ b/internal/core/pacing/owners.go
@@ -1,6 +1,7 @@
 package pacing
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -16,8 +17,14 @@
 	members []tables.InstanceID
 	// avoided are the members that could not be reached, until they are asked again.
 	avoided map[tables.InstanceID]time.Time
-	// silentSince are the members that did not answer in time, and when that began.
-	silentSince map[tables.InstanceID]time.Time
+	// late are the members whose latest answer did not come in time.
+	late map[tables.InstanceID]lateness
+}
+
+// lateness is the time of the first and of the latest of a member's answers that did not come
+// in time, without one in between that did.
+type lateness struct {
+	first, latest time.Time
 }
 
 // avoidTime is how long a member that could not be reached owns nothing here. By then the fleet
@@ -27,11 +34,7 @@
 // Set sets the members that are up, and which of them this instance is.
 func (o *Owners) Set(self tables.InstanceID, members []tables.InstanceID) {
 	o.self, o.members = self, members
-	for member := range o.silentSince {
-		if !slices.Contains(members, member) {
-			delete(o.silentSince, member)
-		}
-	}
+	maps.DeleteFunc(o.late, func(member tables.InstanceID, _ lateness) bool { return !slices.Contains(members, member) })
 }
 
 // Avoid records that a member could not be reached.
@@ -42,31 +45,37 @@
 	o.avoided[member] = now.Add(avoidTime)
 }
 
-// maxSilence is how long a member may be late before it counts as one that could not be reached.
-// Until then it may still admit calls of others, and two owners would admit too many.
-const maxSilence = time.Second
+const (
+	// maxLateness is how long a member may be late before it counts as one that could not be
+	// reached. Until then it may still admit calls of others, and two owners would admit too
+	// many.
+	maxLateness = time.Second
+	// maxLateGap is the longest time between two late answers that count as one lateness.
+	maxLateGap = 2 * avoidTime
+)
 
 // RecordLate records that a member did not answer in time, and reports whether it counts as one
-// that could not be reached, since it has answered nothing for maxSilence.
+// that could not be reached, since it has been late for maxLateness.
 func (o *Owners) RecordLate(now time.Time, member tables.InstanceID) bool {
-	since, silent := o.silentSince[member]
-	if !silent {
-		if o.silentSince == nil {
-			o.silentSince = map[tables.InstanceID]time.Time{}
-		}
-		o.silentSince[member] = now
-		return false
+	l := o.late[member]
+	if now.Sub(l.latest) > maxLateGap {
+		l.first = now
+	}
+	l.latest = now
+	if o.late == nil {
+		o.late = map[tables.InstanceID]lateness{}
 	}
-	if now.Sub(since) < maxSilence {
+	o.late[member] = l
+	if now.Sub(l.first) < maxLateness {
 		return false
 	}
 	o.Avoid(now, member)
 	return true
 }
 
-// RecordAnswer records that a member has answered.
+// RecordAnswer records that a member has answered in time.
 func (o *Owners) RecordAnswer(member tables.InstanceID) {
-	delete(o.silentSince, member)
+	delete(o.late, member)
 }
 
 // Of returns the owner of an upstream, empty if it is this instance.
--- a/internal/core/pacing/semaphore_test.go
+++ b/internal/core/pacing/semaphore_test.go
@@ -181,26 +181,33 @@
 		is := is.New(t)
 		o := newOwners()
 		is.True(!o.RecordLate(start, "b"))
-		is.True(!o.RecordLate(start.Add(maxSilence-1), "b"))
+		is.True(!o.RecordLate(start.Add(maxLateness-1), "b"))
 	})
 	t.Run("an owner that answers nothing is replaced", func(t *testing.T) {
 		is := is.New(t)
 		o := newOwners()
 		o.RecordLate(start, "b")
-		is.True(o.RecordLate(start.Add(maxSilence), "b"))
-		is.Equal(o.Of(start.Add(maxSilence), "u"), tables.InstanceID(""))
+		is.True(o.RecordLate(start.Add(maxLateness), "b"))
+		is.Equal(o.Of(start.Add(maxLateness), "u"), tables.InstanceID(""))
 	})
 	t.Run("an answer between late ones", func(t *testing.T) {
 		is := is.New(t)
 		o := newOwners()
 		o.RecordLate(start, "b")
 		o.RecordAnswer("b")
-		is.True(!o.RecordLate(start.Add(maxSilence), "b"))
+		is.True(!o.RecordLate(start.Add(maxLateness), "b"))
+	})
+	t.Run("late answers far apart, as of rare calls", func(t *testing.T) {
+		is := is.New(t)
+		o := newOwners()
+		for n := range 3 {
+			is.True(!o.RecordLate(start.Add(time.Duration(n)*time.Minute), "b"))
+		}
 	})
 	t.Run("a member that has left is forgotten", func(t *testing.T) {
 		o := newOwners()
 		o.RecordLate(start, "b")
 		o.Set("a", members[:1])
-		is.New(t).Equal(len(o.silentSince), 0)
+		is.New(t).Equal(len(o.late), 0)
 	})
 }
