Take the pause of the other instances from the cache's default

Cause: the configuration's short pause for the first instances came with a second constant, which repeated the cache's default for the others. Change: a cache whose FollowerBatchDelay is not set uses the default for them. No instance pauses longer or shorter than before. Measured: storecache and the tests of restores pass; a case of TestBatchDelay holds it. Tried and dropped: the short pause for all kinds; a rollout right after a restore was known after 0.3 s already, since the instance's own write tells the era.

--- a/internal/instance/entry/tasks.go
+++ b/internal/instance/entry/tasks.go
@@ -25,12 +25,10 @@
 )
 
 const (
-	// configBatchDelay is short for the first instances of the fleet, since a watch
-	// that begins only after the store was restored may stay silent until its slot.
-	// The others, for which followerConfigBatchDelay is the delay, hear of a
-	// configuration from these.
-	configBatchDelay         = 5 * time.Millisecond
-	followerConfigBatchDelay = 250 * time.Millisecond
+	// configBatchDelay is short, since a watch that begins only after the store was
+	// restored may stay silent until its slot. It is that of the first few instances,
+	// from which the others hear of a configuration.
+	configBatchDelay = 5 * time.Millisecond
 	// rolloutCheckInterval is the time between two checks for rollout steps
 	// that are due.
 	rolloutCheckInterval = 250 * time.Millisecond
@@ -65,7 +63,7 @@
 
 func (i *Instance) initCaches() {
 	i.config = i.newCache(platform.KindConfig, i.applyConfig)
-	i.config.BatchDelay, i.config.FollowerBatchDelay = configBatchDelay, followerConfigBatchDelay
+	i.config.BatchDelay = configBatchDelay
 	i.config.OnRestore = func() {
 		select {
 		case i.storeRestored <- struct{}{}:
--- a/internal/instance/storecache/storecache.go
+++ b/internal/instance/storecache/storecache.go
@@ -45,7 +45,7 @@
 	BatchDelay time.Duration
 	// FollowerBatchDelay is the BatchDelay of instances after the first few in
 	// the fleet, which get most changes from their peers. It is used if it is
-	// longer than BatchDelay.
+	// longer than BatchDelay. Zero means the default.
 	FollowerBatchDelay time.Duration
 	// RenewalFactor multiplies the renewal interval of watches, for a kind
 	// whose changes may take effect later. Values below one mean one.
@@ -95,7 +95,7 @@
 	// maxWatchWait bounds the wait of a watch. The store allows 30 seconds.
 	maxWatchWait = 25 * time.Second
 	// defaultBatchDelay is the delay between a change and the next watch if
-	// BatchDelay is zero.
+	// BatchDelay or FollowerBatchDelay is zero.
 	defaultBatchDelay = 250 * time.Millisecond
 	// batchLeaders is the number of instances that watch without
 	// FollowerBatchDelay.
@@ -239,7 +239,7 @@
 func (c *Cache) batchDelay() time.Duration {
 	batchDelay := cmp.Or(c.BatchDelay, defaultBatchDelay)
 	if position, _ := c.FleetPosition(); position >= batchLeaders {
-		return max(batchDelay, c.FollowerBatchDelay)
+		return max(batchDelay, cmp.Or(c.FollowerBatchDelay, defaultBatchDelay))
 	}
 	return batchDelay
 }
--- a/internal/instance/storecache/storecache_test.go
+++ b/internal/instance/storecache/storecache_test.go
@@ -338,6 +338,14 @@
 		c.FleetPosition = func() (int, int) { return batchLeaders, 9 }
 		is.Equal(c.batchDelay(), time.Second)
 	})
+	t.Run("a short delay is that of the first few only", func(t *testing.T) {
+		is := is.New(t)
+		c := newCache(nil, nil)
+		c.BatchDelay = time.Millisecond
+		is.Equal(c.batchDelay(), time.Millisecond)
+		c.FleetPosition = func() (int, int) { return batchLeaders, 9 }
+		is.Equal(c.batchDelay(), defaultBatchDelay)
+	})
 }
 
 // TestWatchWait guards against slots in which no instance renews its watch. A
