Key misdirections by the model that a call names

Cause: the second reading found state and work that need not be there: a lookup of the service's configuration three times a call, to find whether it has models; a slice that was searched by hand; one list of results written out twice; and comments that had to be read twice. Change: a misdirection is kept by the model that the call names, in a map, also for a service without models. Result.isTaken says which calls may have run. The upstreams of a rollout's small share are chosen by the model itself. A caller that names models at a service without any is told from others there; each name costs one more call that is rejected.

--- a/internal/backend/upstreams/chat.go
+++ b/internal/backend/upstreams/chat.go
@@ -151,7 +151,7 @@
 
 // checkResponse returns a fault unless the response has status 200 and echoes
 // the request's ID. A BadRequest or TooLarge fault is the engine's verdict on the
-// request, of which another engine would think no better.
+// request, which another engine would share.
 func checkResponse(response *http.Response, id string) *faults.Error {
 	echoed := response.Header.Get(headerRequestID) == id
 	detail := "upstream answered " + response.Status
--- a/internal/core/dispatch/models.go
+++ b/internal/core/dispatch/models.go
@@ -97,15 +97,6 @@
 	return timeout
 }
 
-// servedModel returns the model that the task's next call runs on, empty for a service
-// without models, which ignores what a caller names.
-func (d *Dispatcher) servedModel(task *Task) tables.ModelID {
-	if !d.hasModels(task.service) {
-		return ""
-	}
-	return task.runModel()
-}
-
 // isModelKnown reports whether the configuration lists the model of the task's next call
 // among those of its service. A service that lists none may have any.
 func (d *Dispatcher) isModelKnown(task *Task) bool {
--- a/internal/core/dispatch/task.go
+++ b/internal/core/dispatch/task.go
@@ -60,7 +60,7 @@
 	// upstream, losses the number of those that were lost before their answer got past
 	// its beginning.
 	calls, arrivals, losses int
-	// misdirected is true once an upstream has rejected the request as one to another.
+	// misdirected is true once an upstream has rejected the request as misdirected.
 	misdirected bool
 	// noRoom is the number of upstreams that had no room for the task in time.
 	noRoom int
@@ -157,6 +157,15 @@
 	NoRoom
 )
 
+// isTaken reports whether the upstream took the call and may have run it.
+func (r Result) isTaken() bool {
+	switch r {
+	case Unreachable, Refused, AddressReused, Misdirected, NoRoom:
+		return false
+	}
+	return true
+}
+
 // Admit accepts a request, or refuses it before it is sent to any upstream.
 func (d *Dispatcher) Admit(now time.Time, request Request) (*Task, *faults.Error) {
 	d.mutex.Lock()
@@ -196,7 +205,7 @@
 	if task.service.waiting.mustWait(now, task) {
 		return nil, faults.New(faults.Overloaded, "others wait for room at the upstreams")
 	}
-	criteria := placement.Criteria{Model: d.servedModel(task), DataCenter: d.dataCenter, Tried: task.tried}
+	criteria := placement.Criteria{Model: task.runModel(), DataCenter: d.dataCenter, Tried: task.tried}
 	wait := placement.PromptWait{}
 	if task.readsPrompt() {
 		wait = d.promptWait(task, task.runModel())
@@ -410,7 +419,7 @@
 	case Served:
 		u.RecordSuccess(now)
 		u.EndDeferral(call.sentAt)
-		u.ClearMisdirection(d.servedModel(task))
+		u.ClearMisdirection(task.runModel())
 	case Failed:
 		u.RecordFailure(now, false)
 	case Broken, Mismatched, TimedOut, Unreachable:
@@ -423,7 +432,7 @@
 	case AddressReused:
 		u.MarkAddressReused()
 	case Misdirected:
-		u.RecordMisdirection(now, d.servedModel(task))
+		u.RecordMisdirection(now, task.runModel())
 		task.misdirected = true
 	case Abandoned, LinkLost, NoRoom:
 	}
@@ -433,10 +442,10 @@
 	if result != Unreachable {
 		task.arrivals++
 	}
-	if result != Unreachable && result != AddressReused && result != Misdirected {
+	if result.isTaken() || result == Refused {
 		task.service.recordTraffic(task)
 	}
-	if result != Unreachable && result != Refused && result != AddressReused && result != Misdirected {
+	if result.isTaken() {
 		task.PossibleRuns++
 		task.service.recordCall(task, call, result)
 	}
--- a/internal/core/dispatch/versions.go
+++ b/internal/core/dispatch/versions.go
@@ -25,9 +25,7 @@
 	useTarget := d.onTarget(now, task, share)
 	upstreams := s.upstreamsByVersion(rollout.Target, useTarget)
 	if useTarget && s.tracker.InCanaryStage() && len(task.tried) == 0 {
-		upstreams = canaryUpstreams(upstreams, rollout.Target, share, func(u *placement.Upstream) bool {
-			return u.Usable() && !u.Misdirects(now, d.servedModel(task))
-		})
+		upstreams = canaryUpstreams(now, upstreams, rollout.Target, share, task.runModel())
 	}
 	mayUseBaseline := useTarget && s.tracker.InProgress()
 	if mayUseBaseline && (len(upstreams) == 0 || task.calls == 0 && !task.pinned && !anyHasRoom(now, upstreams)) {
@@ -94,9 +92,9 @@
 }
 
 // canaryUpstreams returns the few upstreams of the target that get its small
-// share, of those that are usable. With few upstreams each sees the load that it
-// would see after the rollout.
-func canaryUpstreams(upstreams []*placement.Upstream, target tables.VersionID, share float64, isUsable func(*placement.Upstream) bool) []*placement.Upstream {
+// share, of those that may get new work for a model. With few upstreams each sees
+// the load that it would see after the rollout.
+func canaryUpstreams(now time.Time, upstreams []*placement.Upstream, target tables.VersionID, share float64, model tables.ModelID) []*placement.Upstream {
 	const (
 		// headroom is the work that the canaries could take as a multiple of
 		// their share.
@@ -114,7 +112,7 @@
 	})
 	usable := sorted[:0]
 	for _, u := range sorted {
-		if len(usable) < maxCanaries && isUsable(u) {
+		if len(usable) < maxCanaries && u.Usable() && !u.Misdirects(now, model) {
 			usable = append(usable, u)
 		}
 	}
--- a/internal/core/placement/misdirection.go
+++ b/internal/core/placement/misdirection.go
@@ -1,16 +1,17 @@
 package placement
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 	"time"
 
 	"mimosayard/internal/core/tables"
 )
 
-// A misdirection is what is known of a model whose calls the upstream rejected as ones to
-// another upstream. It may not serve the model, or not any more.
+// A misdirection records that the upstream has rejected calls for a model as misdirected,
+// since it does not serve the model or no longer does.
 type misdirection struct {
-	model tables.ModelID
 	// until is when the upstream gets calls for the model again, pause the time from the
 	// latest misdirected call to then.
 	until time.Time
@@ -26,43 +27,37 @@
 	maxMisdirections = 16
 )
 
-// RecordMisdirection records that the upstream has rejected a call for a model as one to
-// another upstream. The model is empty for a service without models.
+// RecordMisdirection records that the upstream has rejected a call for a model as
+// misdirected. The model is empty for a call that names none.
 func (u *Upstream) RecordMisdirection(now time.Time, model tables.ModelID) {
-	n := u.misdirectionIndex(model)
-	if n < 0 {
-		if len(u.misdirections) >= maxMisdirections {
-			earliest := slices.MinFunc(u.misdirections, func(a, b misdirection) int { return a.until.Compare(b.until) })
-			u.ClearMisdirection(earliest.model)
-		}
-		n = len(u.misdirections)
-		u.misdirections = append(u.misdirections, misdirection{model: model})
+	m, known := u.misdirections[model]
+	if !known && len(u.misdirections) >= maxMisdirections {
+		u.forgetMisdirection()
 	}
-	m := &u.misdirections[n]
 	m.pause = min(max(2*m.pause, minMisdirectionPause), maxMisdirectionPause)
 	m.until = now.Add(m.pause)
+	if u.misdirections == nil {
+		u.misdirections = map[tables.ModelID]misdirection{}
+	}
+	u.misdirections[model] = m
 }
 
 // ClearMisdirection records that the upstream has run a call for a model.
 func (u *Upstream) ClearMisdirection(model tables.ModelID) {
-	if n := u.misdirectionIndex(model); n >= 0 {
-		u.misdirections = slices.Delete(u.misdirections, n, n+1)
-	}
+	delete(u.misdirections, model)
 }
 
-// Misdirects reports whether the upstream has recently rejected calls for a model as ones
-// to another upstream.
+// Misdirects reports whether the upstream has recently rejected calls for a model as
+// misdirected.
 func (u *Upstream) Misdirects(now time.Time, model tables.ModelID) bool {
-	n := u.misdirectionIndex(model)
-	return n >= 0 && now.Before(u.misdirections[n].until)
+	return now.Before(u.misdirections[model].until)
 }
 
-// misdirectionIndex returns the index of a model's misdirection, -1 if there is none.
-func (u *Upstream) misdirectionIndex(model tables.ModelID) int {
-	for n := range u.misdirections {
-		if u.misdirections[n].model == model {
-			return n
-		}
-	}
-	return -1
+// forgetMisdirection forgets the misdirection that ends first.
+func (u *Upstream) forgetMisdirection() {
+	first := slices.MinFunc(slices.Collect(maps.Keys(u.misdirections)), func(a, b tables.ModelID) int {
+		// The order of names keeps replays the same.
+		return cmp.Or(u.misdirections[a].until.Compare(u.misdirections[b].until), cmp.Compare(a, b))
+	})
+	delete(u.misdirections, first)
 }
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -79,8 +79,9 @@
 
 	rejections rejectionLimit
 	admission  admission
-	// misdirections has at most one element for each model.
-	misdirections []misdirection
+	// misdirections are those of the models whose calls the upstream has rejected as
+	// misdirected, at most maxMisdirections. It is nil until there is one.
+	misdirections map[tables.ModelID]misdirection
 }
 
 // Criteria are the properties of a request that decide on its upstream.
@@ -91,7 +92,7 @@
 	// Prompt is the expected wait for the start of the answer, nil for a
 	// request without a prompt.
 	Prompt *PromptWait
-	// Model is the model that the request runs on, empty for a service without models.
+	// Model is the model that the request runs on, empty if it names none.
 	Model tables.ModelID
 	// DataCenter is the data centre whose upstreams are preferred.
 	DataCenter tables.DataCenterID
