--- a/internal/backend/connect/admission.go
+++ b/internal/backend/connect/admission.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"sync"
 	"time"
@@ -32,8 +33,9 @@
 	ErrNoRoom = errors.New("the upstream has no room in time")
 	// ErrOwnerLost is returned if the instance that admits the calls could not be reached.
 	ErrOwnerLost = errors.New("the instance that admits the calls could not be reached")
-	// ErrOwnerLate is returned if the instance that admits the calls did not answer in time.
-	ErrOwnerLate = errors.New("the instance that admits the calls did not answer in time")
+	// ErrOwnerLate is the ErrNoRoom of a call to which the instance that admits the calls did
+	// not answer in time.
+	ErrOwnerLate = fmt.Errorf("the instance that admits the calls did not answer in time: %w", ErrNoRoom)
 )
 
 type admissionKey struct{}
@@ -79,7 +81,7 @@
 	switch {
 	case err == nil:
 		return &peerConn{Conn: conn, peer: a.Owner, closed: func() {}}, nil
-	case ctx.Err() != nil, errors.Is(err, ErrNoRoom), errors.Is(err, links.ErrUnreachable), errors.Is(err, ErrOwnerLate):
+	case ctx.Err() != nil, errors.Is(err, ErrNoRoom), errors.Is(err, links.ErrUnreachable):
 		return nil, trace.Wrap(err)
 	}
 	return nil, trace.Wrap(errors.Join(ErrOwnerLost, err))
--- a/internal/edge/ingress/calls.go
+++ b/internal/edge/ingress/calls.go
@@ -211,7 +211,7 @@
 // case, since the caller already has a part of it, or since that of a larger model
 // might be cut at the end of the drain.
 func (x *exchange) escalationConfidence(meta platform.ResponseMetadata) int {
-	if x.headerWritten || x.server.outlastsDrain(x.task.Request.Deadline) {
+	if x.headerWritten || x.outlastsDrain() {
 		return -1
 	}
 	return meta.Confidence
@@ -248,7 +248,7 @@
 		return dispatch.Abandoned, false, faults.New(faults.Interrupted, "")
 	case x.request.Context().Err() != nil:
 		return dispatch.Abandoned, true, errCallerDisconnected
-	case errors.Is(err, connect.ErrNoRoom), errors.Is(err, connect.ErrOwnerLost), errors.Is(err, connect.ErrOwnerLate):
+	case errors.Is(err, connect.ErrNoRoom), errors.Is(err, connect.ErrOwnerLost):
 		return dispatch.NoRoom, false, faults.NotRun(faults.Overloaded, "no room in time")
 	case errors.Is(err, forward.ErrNotConnected):
 		return dispatch.Unreachable, false, faults.NotRun(faults.UpstreamFailed, "the upstream could not be reached: "+connectFailure(err))
--- a/internal/edge/ingress/ingress.go
+++ b/internal/edge/ingress/ingress.go
@@ -139,7 +139,7 @@
 	if err := x.readBody(); err != nil {
 		return err
 	}
-	if x.server.rejectsNewRequest(x.route.Kind, x.deadline()) {
+	if x.isRejected() {
 		return shuttingDownFault()
 	}
 	task, fault := x.server.Dispatcher.Admit(x.arrived, x.dispatchRequest())
@@ -152,21 +152,24 @@
 	return x.callUpstreams(ctx)
 }
 
-// rejectsNewRequest reports whether the instance has been shutting down for too
-// long to finish a new request of the kind that may last until the deadline. The
-// load balancer then sends new connections to other instances, where the request
-// can run.
-func (s *Server) rejectsNewRequest(kind catalog.RouteKind, deadline time.Time) bool {
-	sinceShutdown := s.SinceShutdown()
-	isLate := sinceShutdown > min(balancerWindow, s.AcceptWindow)
-	return isLate && kind == catalog.Streaming || sinceShutdown > s.AcceptWindow || s.outlastsDrain(deadline)
+// isRejected reports whether the instance has been shutting down for too long to
+// finish the request, which has just come. The load balancer then sends new
+// connections to other instances, where the request can run.
+func (x *exchange) isRejected() bool {
+	isLateStream := x.route.Kind == catalog.Streaming && x.server.isDraining()
+	return isLateStream || x.server.SinceShutdown() > x.server.AcceptWindow || x.outlastsDrain()
 }
 
 // outlastsDrain reports whether a call that begins now may last longer than the
 // instance, while the load balancer sends new connections to others.
-func (s *Server) outlastsDrain(deadline time.Time) bool {
-	sinceShutdown := s.SinceShutdown()
-	return sinceShutdown > min(balancerWindow, s.AcceptWindow) && time.Until(deadline) > s.DrainWindow-sinceShutdown
+func (x *exchange) outlastsDrain() bool {
+	return x.server.isDraining() && time.Until(x.deadline()) > x.server.DrainWindow-x.server.SinceShutdown()
+}
+
+// isDraining reports whether the load balancer sends new connections to other
+// instances, since this one is shutting down.
+func (s *Server) isDraining() bool {
+	return s.SinceShutdown() > min(balancerWindow, s.AcceptWindow)
 }
 
 // shuttingDownFault returns the fault for a request that has not run here.
@@ -316,7 +319,7 @@
 		x.contentPart()
 	}
 	for {
-		if x.task.PossibleRuns == 0 && !x.headerWritten && x.server.outlastsDrain(x.task.Request.Deadline) {
+		if x.task.PossibleRuns == 0 && !x.headerWritten && x.outlastsDrain() {
 			x.server.Dispatcher.StopWaiting(x.task)
 			return nil, shuttingDownFault()
 		}
