Share the upstream that closes its connection among tests

Cause: four tests took over a connection, wrote some bytes and closed it, two of them new; a new test searched a slice by hand, and counted in one goroutine what another read. Change: httpserver.CloseAfter serves all four; slices.Contains; the count that the test's server keeps.

--- a/internal/backend/upstreams/heads_test.go
+++ b/internal/backend/upstreams/heads_test.go
@@ -1,29 +1,23 @@
 package upstreams
 
 import (
-	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
 
 	"github.com/matryer/is"
+
+	"mimosayard/internal/standin/httpserver"
 )
 
 // closeAfter starts an upstream that writes some bytes and closes its connection, and returns
 // its address.
 func closeAfter(t *testing.T, sent string) string {
 	t.Helper()
-	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		conn, _, err := http.NewResponseController(w).Hijack()
-		if err != nil {
-			return
-		}
-		defer func() { _ = conn.Close() }()
-		_, _ = io.WriteString(conn, sent)
-	}))
+	server := httptest.NewServer(httpserver.CloseAfter(sent))
 	t.Cleanup(server.Close)
-	return strings.TrimPrefix(server.URL, "http://")
+	return server.Listener.Addr().String()
 }
 
 // TestAnswersCutInTheirHeadAreErrors guards against answers that count as whole and empty,
--- a/internal/edge/ingress/heads_test.go
+++ b/internal/edge/ingress/heads_test.go
@@ -1,13 +1,13 @@
 package ingress
 
 import (
-	"fmt"
-	"net"
 	"net/http"
 	"strings"
 	"testing"
 
 	"github.com/matryer/is"
+
+	"mimosayard/internal/standin/httpserver"
 )
 
 // TestAnswersCutInTheirHeadAreNotWhole guards against callers that get a whole empty answer,
@@ -47,7 +47,7 @@
 		{"a status without content", http.MethodGet, "/unsafe/x", "HTTP/1.1 204 No Content\r\n" + head + "\r\n", "", http.StatusNoContent},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			ti := newTestIngress(t, closeAfter(c.sent))
+			ti := newTestIngress(t, httpserver.CloseAfter(c.sent))
 			response, body, err := ti.do(t, ti.request(t, c.method, c.path, ""))
 			assertStatus(t, response, err, c.status)
 			is.New(t).Equal(body, c.body)
@@ -60,22 +60,10 @@
 func assertNotWhole(t *testing.T, path, sent string) {
 	t.Helper()
 	is := is.New(t)
-	ti := newTestIngress(t, closeAfter(sent))
+	ti := newTestIngress(t, httpserver.CloseAfter(sent))
 	response, body, err := ti.get(t, path)
 	is.NoErr(err)
 	if response.StatusCode < http.StatusMultipleChoices {
 		t.Errorf("status %d, body %q after %q", response.StatusCode, body, sent)
 	}
 }
-
-// closeAfter returns an upstream that writes some bytes and closes its connection.
-func closeAfter(sent string) http.HandlerFunc {
-	return func(w http.ResponseWriter, _ *http.Request) {
-		conn, _, err := http.NewResponseController(w).Hijack()
-		if err != nil {
-			return
-		}
-		defer func() { _ = conn.(*net.TCPConn).Close() }()
-		_, _ = fmt.Fprint(conn, sent)
-	}
-}
--- a/internal/edge/ingress/ingress_test.go
+++ b/internal/edge/ingress/ingress_test.go
@@ -31,6 +31,7 @@
 	"mimosayard/internal/core/releases"
 	"mimosayard/internal/core/retries"
 	"mimosayard/internal/core/tables"
+	"mimosayard/internal/standin/httpserver"
 	"mimosayard/platform"
 )
 
@@ -628,11 +629,7 @@
 		is.New(t).Equal(ti.runs.Load(), int64(1))
 	})
 	t.Run("an answer without a length does not look complete", func(t *testing.T) {
-		unframed := func(w http.ResponseWriter, r *http.Request) {
-			conn, _, _ := http.NewResponseController(w).Hijack()
-			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\n\r\n%s", r.Header.Get("X-Attempt-Id"), strings.Repeat("x", 1000))
-			_ = conn.Close()
-		}
+		unframed := httpserver.CloseAfter("HTTP/1.1 200 OK\r\nX-Attempt-Id: id-1\r\n\r\n" + strings.Repeat("x", 1000))
 		ti := newTestIngressWithDialer(t, lossyPeer(500), unframed)
 		response, _, err := ti.get(t, "/unsafe/x")
 		assertStatus(t, response, err, http.StatusBadGateway)
--- a/internal/edge/ingress/misdirected_test.go
+++ b/internal/edge/ingress/misdirected_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
@@ -14,11 +15,9 @@
 // servesModels returns an upstream that answers 421 to other models.
 func servesModels(models ...string) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		for _, model := range models {
-			if r.Header.Get("X-Model") == model {
-				echo(w, r)
-				return
-			}
+		if slices.Contains(models, r.Header.Get("X-Model")) {
+			echo(w, r)
+			return
 		}
 		misdirect(w, r)
 	}
@@ -125,15 +124,12 @@
 func TestReusedAddressIsAvoided(t *testing.T) {
 	t.Run("the other upstream does not say who it is", func(t *testing.T) {
 		is := is.New(t)
-		misdirected := 0
-		ti := newTestIngress(t, echo, func(w http.ResponseWriter, r *http.Request) {
-			misdirected++
-			misdirect(w, r)
-		})
-		for range 40 {
+		const requests = 40
+		ti := newTestIngress(t, echo, misdirect)
+		for range requests {
 			is.Equal(ti.ask(t, "/unsafe/x", ""), http.StatusOK)
 		}
-		is.Equal(misdirected, 1)
+		is.Equal(ti.runs.Load(), int64(requests+1))
 	})
 	t.Run("the other upstream says who it is, and there is no other", func(t *testing.T) {
 		is := is.New(t)
--- a/internal/edge/ingress/streams_test.go
+++ b/internal/edge/ingress/streams_test.go
@@ -2,13 +2,14 @@
 
 import (
 	"fmt"
-	"net"
 	"net/http"
 	"strconv"
 	"strings"
 	"testing"
 
 	"github.com/matryer/is"
+
+	"mimosayard/internal/standin/httpserver"
 )
 
 // TestErrorsDoNotReachABegunStream guards against callers that get an error of the next
@@ -43,6 +44,8 @@
 // failedAnswers returns upstreams whose answers are no streams of events, or end with something
 // else.
 func failedAnswers() map[string]http.HandlerFunc {
+	// The end of the connection is the end of the stream.
+	const unframedHead = "HTTP/1.1 200 OK\r\nX-Attempt-Id: id-1\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n"
 	const head = "HTTP/1.1 500 Internal Server Error\r\nX-Attempt-Id: id-1\r\nContent-Length: 6\r\n\r\nfailed"
 	failures := map[string]http.HandlerFunc{}
 	for _, status := range []int{200, 204, 301, 400, 404, 421, 429, 500, 503} {
@@ -59,11 +62,7 @@
 		"a head after the next event":  "id: 4\ndata: piece 4\n\n",
 		"a head within the next event": "id: 4\ndata: pie",
 	} {
-		failures[name] = func(w http.ResponseWriter, r *http.Request) {
-			conn, _, _ := http.NewResponseController(w).Hijack()
-			defer func() { _ = conn.Close() }()
-			writeUnframed(conn, r, after+head)
-		}
+		failures[name] = httpserver.CloseAfter(unframedHead + after + head)
 	}
 	return failures
 }
@@ -77,9 +76,3 @@
 	}
 	is.New(t).Equal(body, want)
 }
-
-// writeUnframed writes a stream of which the end of the connection is the end.
-func writeUnframed(conn net.Conn, r *http.Request, body string) {
-	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n%s",
-		r.Header.Get("X-Attempt-Id"), body)
-}
--- a/internal/standin/httpserver/httpserver.go
+++ b/internal/standin/httpserver/httpserver.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"time"
@@ -15,6 +16,19 @@
 
 const readHeaderTimeout = 5 * time.Second
 
+// CloseAfter returns a handler that writes some bytes in place of a response and closes the
+// connection.
+func CloseAfter(sent string) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(conn, sent)
+		_ = conn.Close()
+	}
+}
+
 // Decode decodes the JSON body of a request. If that fails, it answers with
 // status 400 and returns false.
 func Decode[T any](w http.ResponseWriter, request *http.Request) (T, bool) {
