--- a/internal/edge/ingress/shutdown_test.go
+++ b/internal/edge/ingress/shutdown_test.go
@@ -1,7 +1,9 @@
 package ingress
 
 import (
+	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -43,6 +45,46 @@
 	}
 }
 
+// TestLateRequestsEndWithinTheDrain guards against requests that come when the load balancer has
+// moved its connections, at the latest 3 s after the signal, and reach an upstream though they
+// may last longer than the instance. It draws the moment, the deadline, the kind and the limits.
+func TestLateRequestsEndWithinTheDrain(t *testing.T) {
+	const (
+		requests = 400
+		// movedAfter is when the load balancer has moved its connections for certain.
+		movedAfter = 3 * time.Second
+		// routeTimeout is that of the routes of the ingress server.
+		routeTimeout = time.Minute
+	)
+	random := rand.New(rand.NewPCG(1, 2))
+	ti := newTestIngress(t, echo)
+	reachedLate := 0
+	for range requests {
+		is := is.New(t)
+		grace := time.Duration(2+random.IntN(28)) * time.Second
+		drainEnd := grace - time.Second
+		elapsed := time.Duration(random.Int64N(int64(grace)))
+		deadline := time.Duration(1+random.IntN(2*int(grace.Seconds()))) * time.Second
+		path := []string{"/unsafe/x", "/safe/x", "/stream/x"}[random.IntN(3)]
+		ti.server.SinceShutdown = func() time.Duration { return elapsed }
+		ti.server.AcceptWindow, ti.server.DrainWindow = grace/2, drainEnd
+		before := ti.runs.Load()
+		request := ti.request(t, http.MethodPost, path, "")
+		request.Header.Set("X-Deadline-Ms", strconv.FormatInt(deadline.Milliseconds(), 10))
+		response, _, err := ti.do(t, request)
+		is.NoErr(err)
+		reached := ti.runs.Load() > before
+		is.Equal(reached, response.StatusCode != http.StatusServiceUnavailable)
+		if reached && elapsed > movedAfter {
+			reachedLate++
+			// The request was sent a little after the moment that the server takes for now.
+			const slack = 500 * time.Millisecond
+			is.True(elapsed+min(deadline, routeTimeout) <= drainEnd+slack)
+		}
+	}
+	is.New(t).True(reachedLate > 0)
+}
+
 // TestCallsThatMayOutlastTheDrainAreNotBegun guards against requests that came in time, are
 // sent late in the shutdown after a refusal, and are cut off at its end.
 func TestCallsThatMayOutlastTheDrainAreNotBegun(t *testing.T) {
--- a/internal/instance/entry/stops_test.go
+++ b/internal/instance/entry/stops_test.go
@@ -6,9 +6,11 @@
 	"flag"
 	"fmt"
 	"io"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -20,7 +22,7 @@
 )
 
 // stopSeeds is the number of drawn stops that TestStopsLoseNoRequest plays.
-var stopSeeds = flag.Int("stops", 4, "number of drawn stops")
+var stopSeeds = flag.Int("stops", 6, "number of drawn stops")
 
 // A stopCase is a stop of an instance whose callers keep their connections open until the
 // instance has ended.
@@ -28,6 +30,8 @@
 	*testFleet
 	random *rand.Rand
 	grace  time.Duration
+	// work is the longest time that an upstream takes.
+	work time.Duration
 
 	mutex    sync.Mutex
 	outcomes []stopOutcome
@@ -41,6 +45,8 @@
 	// it ended before the end of it.
 	status int
 	whole  bool
+	// interrupted is true if the instance ended the request.
+	interrupted bool
 }
 
 // callersPerStop is the number of callers, each with one connection.
@@ -50,11 +56,14 @@
 func newStopCase(t *testing.T, seed uint64) *stopCase {
 	t.Helper()
 	c := &stopCase{random: rand.New(rand.NewPCG(seed, 1))}
-	seconds := 2 + 2*c.random.Float64()
+	seconds := 2 + 8*c.random.Float64()
 	c.grace = time.Duration(seconds * float64(time.Second))
 	c.testFleet = newTestFleetWithGrace(t, 1, 3, settings.Seconds(seconds))
 	for n := range c.upstreams {
-		c.setFaults(n, fmt.Sprintf(`{"work_ms":%d}`, 10<<c.random.IntN(8)))
+		// From 10 ms to 4.5 s, as often short as long.
+		work := time.Duration(10*math.Pow(450, c.random.Float64())) * time.Millisecond
+		c.setFaults(n, fmt.Sprintf(`{"work_ms":%d}`, work.Milliseconds()))
+		c.work = max(c.work, work)
 	}
 	return c
 }
@@ -75,8 +84,8 @@
 		request.Header.Set("X-Deadline-Ms", strconv.Itoa(200<<random.IntN(6)))
 		if response, err := client.Do(request); err == nil {
 			o.status = response.StatusCode
-			_, err = io.Copy(io.Discard, response.Body)
-			o.whole = err == nil
+			body, err := io.ReadAll(response.Body)
+			o.whole, o.interrupted = err == nil, strings.Contains(string(body), `"kind":"interrupted"`)
 			_ = response.Body.Close()
 		}
 		c.mutex.Lock()
@@ -129,14 +138,15 @@
 			cancel()
 			is.New(t).NoErr(group.Wait())
 			// Calls run to their end at the upstreams after the instance has ended.
-			time.Sleep(1500 * time.Millisecond)
+			time.Sleep(c.work + 500*time.Millisecond)
 			c.assertNoneLost(stoppedAt)
 		})
 	}
 }
 
 // assertNoneLost checks the outcomes of a stop. A stream may be cut that was sent early in the
-// stop, if it still ran in the last sixth of the grace period.
+// stop, if it still ran in the last sixth of the grace period. What was sent later is not passed
+// on if it may not end in time, so that the instance need not end it.
 func (c *stopCase) assertNoneLost(stoppedAt time.Time) {
 	c.t.Helper()
 	const excusedTime = 3 * time.Second
@@ -147,6 +157,8 @@
 		switch ran := runs[o.id] > 0; {
 		case ran && !o.whole && !mayBeCut:
 			c.t.Errorf("%s %s, sent %v after the stop, ran and has no whole answer (status %d)", o.id, o.path, after, o.status)
+		case o.interrupted && after > excusedTime:
+			c.t.Errorf("%s %s, sent %v after the stop, was passed on and then ended", o.id, o.path, after)
 		case ran && (o.status == http.StatusServiceUnavailable || o.status == http.StatusTooManyRequests) && o.path == "/unsafe/x":
 			c.t.Errorf("%s %s, sent %v after the stop, ran and was refused with %d", o.id, o.path, after, o.status)
 		case runs[o.id] > 1 && o.path == "/unsafe/x":
