Spell the soak's steps once

Cause: the soak repeated how a configuration gets its version and text, tried a write in two places, chose an upstream twice and filtered a slice by hand. Change: nextConfiguration serves both; one loop; a method of the disturbance; slices.DeleteFunc. Plans and checks are the same. Measured: the process tests pass with the race detector.

--- a/internal/evaluation/processes/sharedplatform_test.go
+++ b/internal/evaluation/processes/sharedplatform_test.go
@@ -99,13 +99,14 @@
 // of the only team.
 func (f *sharedFleet) putConfiguration(keys ...string) {
 	f.t.Helper()
-	f.configVersion += 3
-	f.putObject("config", "main", f.configuration(keys...))
+	f.putObject("config", "main", f.nextConfiguration(keys...))
 }
 
-// configuration returns the configuration of the present version.
-func (f *sharedFleet) configuration(keys ...string) string {
+// nextConfiguration returns a new version of the configuration with the API keys of
+// the only team.
+func (f *sharedFleet) nextConfiguration(keys ...string) string {
 	f.t.Helper()
+	f.configVersion += 3
 	keysJSON, err := json.Marshal(keys)
 	if err != nil {
 		f.t.Fatal(err)
--- a/internal/evaluation/processes/soak_test.go
+++ b/internal/evaluation/processes/soak_test.go
@@ -48,6 +48,11 @@
 	startedAt time.Time
 }
 
+// upstream returns the upstream that is the target.
+func (d disturbance) upstream() string {
+	return []string{"i-1", "i-2"}[d.target%2]
+}
+
 // An instanceState is what the soak has done to an instance.
 type instanceState struct {
 	// restartAt is when the instance is started again, zero while it runs.
@@ -207,15 +212,13 @@
 			d.at += d.length
 			ends = append(ends, d)
 		}
-		kept := ends[:0]
-		for _, d := range ends {
-			if now.Sub(start) >= d.at {
+		ends = slices.DeleteFunc(ends, func(d disturbance) bool {
+			isOver := now.Sub(start) >= d.at
+			if isOver {
 				s.end(d)
-			} else {
-				kept = append(kept, d)
 			}
-		}
-		ends = kept
+			return isOver
+		})
 		for index := range s.states {
 			s.advance(index, now)
 		}
@@ -225,29 +228,28 @@
 
 // edit writes a configuration with one more key, again if the answer is lost.
 func (s *soak) edit(key string) {
-	s.configVersion += 3
-	object := `{"metadata":{},"spec":` + s.configuration(validKey, key) + `}`
-	err := s.tryPut(s.objectURL("config", "main"), object)
-	for n := 0; err != nil && n < 5; n++ {
-		err = s.tryPut(s.objectURL("config", "main"), object)
-	}
-	if err != nil {
-		s.t.Fatal(err)
+	const attempts = 6
+	object := `{"metadata":{},"spec":` + s.nextConfiguration(validKey, key) + `}`
+	var err error
+	for range attempts {
+		if err = s.tryPut(s.objectURL("config", "main"), object); err == nil {
+			return
+		}
 	}
+	s.t.Fatal(err)
 }
 
 // begin starts a disturbance. One of an instance that is being stopped or is not running is
 // left out.
 func (s *soak) begin(d disturbance) {
 	state := s.states[d.target]
-	upstream := []string{"i-1", "i-2"}[d.target%2]
 	switch d.kind {
 	case "drop answers":
-		s.setFaults(upstream, `{"lose_answers":true}`)
+		s.setFaults(d.upstream(), `{"lose_answers":true}`)
 	case "break streams":
-		s.setFaults(upstream, `{"break_after":3}`)
+		s.setFaults(d.upstream(), `{"break_after":3}`)
 	case "full":
-		s.setFaults(upstream, `{"full":true}`)
+		s.setFaults(d.upstream(), `{"full":true}`)
 	case "refuse":
 		s.touch()
 		s.put(s.platformURL()+"/admin/faults", fmt.Sprintf(`{"refuse":[%q]}`, strings.Split(s.address(d.target, 0), ":")[0]))
@@ -282,7 +284,7 @@
 func (s *soak) end(d disturbance) {
 	switch d.kind {
 	case "drop answers", "break streams", "full":
-		s.setFaults([]string{"i-1", "i-2"}[d.target%2], `{}`)
+		s.setFaults(d.upstream(), `{}`)
 	case "refuse", "lose writes", "forget":
 		s.put(s.platformURL()+"/admin/faults", `{}`)
 		s.touch()
