--- a/internal/edge/ingress/calls.go
+++ b/internal/edge/ingress/calls.go
@@ -249,7 +249,7 @@
 	case x.request.Context().Err() != nil:
 		return dispatch.Abandoned, true, errCallerDisconnected
 	case errors.Is(err, connect.ErrNoRoom), errors.Is(err, connect.ErrOwnerLost):
-		return dispatch.NoRoom, false, faults.NotRun(faults.Overloaded, "no room in time")
+		return dispatch.NoRoom, false, faults.NotRun(faults.Overloaded, roomFailure(err))
 	case errors.Is(err, forward.ErrNotConnected):
 		return dispatch.Unreachable, false, faults.NotRun(faults.UpstreamFailed, "the upstream could not be reached: "+connectFailure(err))
 	case errors.Is(context.Cause(ctx), errResponseTimeout), errors.Is(context.Cause(ctx), errStreamIdle):
@@ -274,6 +274,17 @@
 	return "no connection"
 }
 
+// roomFailure returns why a call was not admitted, for the log.
+func roomFailure(err error) string {
+	switch {
+	case errors.Is(err, connect.ErrOwnerLost):
+		return "the admitting instance is lost"
+	case errors.Is(err, connect.ErrOwnerLate):
+		return "the admitting instance is late"
+	}
+	return "no room in time"
+}
+
 // writeBuffered writes a buffered response to the caller.
 func (x *exchange) writeBuffered(response *bufferedResponse) error {
 	x.timeToFirstWrite = time.Since(x.arrived)
--- a/internal/edge/ingress/ingress_test.go
+++ b/internal/edge/ingress/ingress_test.go
@@ -554,6 +554,20 @@
 	}
 }
 
+// TestLackOfRoomIsNamed guards against a log that does not tell an upstream without room from
+// an instance that does not admit calls to it.
+func TestLackOfRoomIsNamed(t *testing.T) {
+	for want, err := range map[string]error{
+		"no room in time":                connect.ErrNoRoom,
+		"the admitting instance is late": connect.ErrOwnerLate,
+		"the admitting instance is lost": connect.ErrOwnerLost,
+	} {
+		t.Run(want, func(t *testing.T) {
+			is.New(t).Equal(roomFailure(errors.Join(forward.ErrNotConnected, err)), want)
+		})
+	}
+}
+
 // TestUnconnectedCallsHaveNotRun guards against callers that are told a request may have
 // run although no connection to an upstream was established in time.
 func TestUnconnectedCallsHaveNotRun(t *testing.T) {
