--- a/internal/core/catalog/catalog.go
+++ b/internal/core/catalog/catalog.go
@@ -73,6 +73,11 @@
 type Service struct {
 	Name           tables.ServiceID
 	MaxConnections int
+	// ColdStart is how long an upstream is cold after its start, and ColdRate the number of
+	// requests in a second, of all instances together, that a cold one tolerates. Both are zero
+	// if its upstreams are never cold.
+	ColdStart time.Duration
+	ColdRate  float64
 	// Engine is nil for a service without models.
 	Engine *Engine
 }
@@ -122,6 +127,8 @@
 	// Incarnation differs between successive processes of an upstream that have
 	// the same ID.
 	Incarnation int64
+	// ColdFor is how much longer the upstream was cold when it wrote its entry.
+	ColdFor time.Duration
 }
 
 // A Rollout asks for a service's traffic to move to the version Target within
--- a/internal/core/dispatch/task.go
+++ b/internal/core/dispatch/task.go
@@ -23,6 +23,8 @@
 	Route *catalog.Route
 	// Session is empty for a request without a session.
 	Session string
+	// Team is empty for a request that needs no credential.
+	Team tables.TeamID
 	// Model is empty if the router chooses the model.
 	Model        tables.ModelID
 	PromptTokens tables.Tokens
@@ -323,6 +325,11 @@
 	// together.
 	NamesLimit bool
 	MaxRate    pacing.Rate
+	// StatesCold is true if it says how much longer it stays cold, ColdFor.
+	StatesCold bool
+	ColdFor    time.Duration
+	// Load is its report of its load, nil if it makes none.
+	Load *placement.ReportedLoad
 }
 
 // RecordUpstreamState records what the upstream of a call says of itself.
@@ -342,6 +349,9 @@
 		}
 		d.limitRejections(now, call.upstream)
 	}
+	if state.Load != nil {
+		call.upstream.RecordLoad(now, *state.Load)
+	}
 	changed := call.upstream.Limit.RecordAnswer(now, state.MaxRate, state.NamesLimit)
 	if state.NamesLimit {
 		d.updateLimit(now, d.service(call.Upstream.Service), call.upstream, changed)
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -79,6 +79,7 @@
 
 	rejections rejectionLimit
 	admission  admission
+	reported   loadReport
 	// misdirections are those of the models whose calls the upstream has rejected as
 	// misdirected, at most maxMisdirections. It is nil until there is one.
 	misdirections map[tables.ModelID]misdirection
--- a/internal/edge/ingress/calls.go
+++ b/internal/edge/ingress/calls.go
@@ -20,6 +20,7 @@
 	"mimosayard/internal/core/faults"
 	"mimosayard/internal/core/links"
 	"mimosayard/internal/core/pacing"
+	"mimosayard/internal/core/placement"
 	"mimosayard/internal/core/quarantine"
 	"mimosayard/internal/core/tables"
 	"mimosayard/platform"
@@ -188,6 +189,10 @@
 	state := dispatch.UpstreamState{
 		Leaving: meta.Leaving, RetryAfter: meta.RetryAfter, MaxRejections: meta.MaxRejections,
 		NamesLimit: meta.NamesLimit, MaxRate: pacing.Rate(meta.MaxRate),
+		StatesCold: meta.StatesCold, ColdFor: meta.ColdFor,
+	}
+	if meta.Load != nil {
+		state.Load = &placement.ReportedLoad{Running: meta.Load.Running, Waiting: meta.Load.Waiting, Slots: meta.Load.Slots, Pace: meta.Load.Pace}
 	}
 	x.server.Dispatcher.RecordUpstreamState(time.Now(), call, state)
 	if state.Leaving || state.RetryAfter > 0 {
--- a/internal/edge/ingress/ingress.go
+++ b/internal/edge/ingress/ingress.go
@@ -268,6 +268,7 @@
 		ID:              x.metadata.ID,
 		Route:           x.route,
 		Session:         x.metadata.Session,
+		Team:            x.teamName(),
 		Model:           x.metadata.Model,
 		PromptTokens:    x.metadata.PromptTokens,
 		SharedTokens:    sharedPrefixTokens(x.metadata.PromptParts),
