--- a/internal/evaluation/processes/harness_test.go
+++ b/internal/evaluation/processes/harness_test.go
@@ -21,6 +21,7 @@
 
 	"mimosayard/internal/core/billing"
 	"mimosayard/internal/core/tables"
+	"mimosayard/internal/evaluation/programs"
 	"mimosayard/internal/instance/service"
 	"mimosayard/internal/instance/settings"
 )
@@ -32,7 +33,7 @@
 	// log holds what the program wrote to standard error.
 	log *bytes.Buffer
 	// done is closed when the program has exited.
-	done chan struct{}
+	done <-chan struct{}
 }
 
 // An instance is a process of the program under test, with its settings.
@@ -106,12 +107,9 @@
 	}
 	defer os.RemoveAll(directory)
 	binaryDirectory = directory
-	for _, name := range []string{"mimosayard", "standins"} {
-		build := exec.Command("go", "build", "-o", filepath.Join(directory, name), "mimosayard/cmd/"+name)
-		if output, err := build.CombinedOutput(); err != nil {
-			fmt.Fprintf(os.Stderr, "%s: %v\n%s", name, err, output)
-			return 1
-		}
+	if err := programs.Build(directory); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
 	}
 	return m.Run()
 }
@@ -360,28 +358,8 @@
 // end of its log is printed if the test failed.
 func (f *fleet) startProgram(program string, args ...string) *process {
 	f.t.Helper()
-	p := &process{t: f.t, log: &bytes.Buffer{}, done: make(chan struct{})}
-	p.command = exec.Command(filepath.Join(binaryDirectory, program), args...)
-	p.command.Stderr = p.log
-	if err := p.command.Start(); err != nil {
-		f.t.Fatal(err)
-	}
-	ended := make(chan struct{})
-	group := newGroup()
-	group.Go(func() error {
-		defer close(ended)
-		return p.command.Wait()
-	})
-	p.done = ended
-	f.t.Cleanup(func() {
-		_ = p.command.Process.Signal(syscall.SIGCONT)
-		_ = p.command.Process.Kill()
-		<-ended
-		if f.t.Failed() {
-			f.t.Logf("%s %v:\n%s", program, args, tail(p.log.String()))
-		}
-	})
-	return p
+	started := programs.Start(f.t, exec.Command(filepath.Join(binaryDirectory, program), args...))
+	return &process{t: f.t, command: started.Command, log: started.Log, done: started.Done}
 }
 
 // startInstance starts an instance and returns without waiting for it to be
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -81,6 +81,8 @@
 	// CutAfterTokens is the number of tokens after which a stream is closed
 	// without its end marker. Zero means never.
 	CutAfterTokens int `json:"cut_after"`
+	// TokenBytes is the number of bytes added to each token of an answer.
+	TokenBytes int `json:"token_bytes"`
 	// WrongID returns a request ID other than that of the request.
 	WrongID bool `json:"wrong_id"`
 	// HangOrders ignores orders and never answers them.
@@ -364,7 +366,7 @@
 		if faults.CutAfterTokens > 0 && i >= faults.CutAfterTokens {
 			panic(http.ErrAbortHandler)
 		}
-		writeChunk(w, request.Header.Get(headerRequestID), body.Model, token, math.Log(generated.confidence))
+		writeChunk(w, request.Header.Get(headerRequestID), body.Model, token+strings.Repeat(".", faults.TokenBytes), math.Log(generated.confidence))
 	}
 	promptTokens := len(promptText(body)) / bytesPerToken
 	cachedTokens := 0
--- a/internal/standin/plainservice/plainservice.go
+++ b/internal/standin/plainservice/plainservice.go
@@ -6,6 +6,7 @@
 import (
 	"io"
 	"net/http"
+	"strings"
 	"sync"
 
 	"github.com/cespare/xxhash/v2"
@@ -36,6 +37,8 @@
 	HangAfterRun bool `json:"silent_after_run"`
 	// Fail answers with status 500 without executing the call.
 	Fail bool `json:"fail"`
+	// AnswerBytes is the number of bytes added to answers for paths with "/large".
+	AnswerBytes int `json:"answer_bytes"`
 }
 
 type runsResponse struct {
@@ -97,7 +100,11 @@
 		return
 	}
 	w.Header().Set("X-Request-Id", id)
-	httpserver.WriteJSON(w, map[string]string{"status": "done", "request_id": id})
+	status := "done"
+	if strings.Contains(request.URL.Path, "/large") {
+		status += strings.Repeat(" ", faults.AnswerBytes)
+	}
+	httpserver.WriteJSON(w, map[string]string{"status": status, "request_id": id})
 }
 
 // execute counts a call and returns the faults that apply to its response.
--- a/internal/standin/sharedplatform/upstream.go
+++ b/internal/standin/sharedplatform/upstream.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"sort"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -59,6 +60,10 @@
 	// Brittle is the number of rejections in a second that the server says it tolerates, zero
 	// if it says nothing.
 	Brittle int `json:"brittle"`
+	// AnswerBytes and EventBytes are appended to responses and to events for paths with
+	// "/large".
+	AnswerBytes int `json:"answer_bytes"`
+	EventBytes  int `json:"event_bytes"`
 }
 
 // ArrivalsSince returns the number of requests that have arrived since a time.
@@ -171,7 +176,10 @@
 		u.stream(w, r, faults)
 		return
 	}
-	_, _ = fmt.Fprintf(w, "%s for %s: %s", r.URL.Path, r.Header.Get("X-Tenant"), body)
+	if !strings.Contains(r.URL.Path, "/large") {
+		faults.AnswerBytes = 0
+	}
+	_, _ = fmt.Fprintf(w, "%s for %s: %s%s", r.URL.Path, r.Header.Get("X-Tenant"), body, strings.Repeat(" ", faults.AnswerBytes))
 }
 
 // stream sends the events after the one that Last-Event-Id names.
@@ -182,13 +190,17 @@
 	}
 	lastEventID, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	controller := http.NewResponseController(w)
+	padding := ""
+	if strings.Contains(r.URL.Path, "/large") {
+		padding = strings.Repeat(".", faults.EventBytes)
+	}
 	for i := lastEventID + 1; i <= u.EventsPerStream; i++ {
 		if faults.BreakAfterEvents > 0 && i > faults.BreakAfterEvents {
 			_, _ = fmt.Fprintf(w, "id: %d\ndata: hal", i)
 			_ = controller.Flush()
 			panic(http.ErrAbortHandler)
 		}
-		_, _ = fmt.Fprintf(w, "id: %d\ndata: piece %d\n\n", i, i)
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: piece %d%s\n\n", i, i, padding)
 		if controller.Flush() != nil {
 			return
 		}
