Bound what callers hold at both interfaces

Crowds of callers ended a process by its memory and used up its descriptors: heads were bounded one by one, bodies and buffered answers were read whole whatever the others held, and connections had no bound.

Use the budget for bodies, heads and buffered answers, and bound the connections by the limits on descriptors and memory, at the shared platform's interface and the product's own. A body without room is refused as not run (503), one that stalls while others need its room too (408). An answer without room is answer_dropped (502), which promises nothing, blames no upstream and is not tried again. The head of a request may take header_timeout_ms of the configuration.

--- a/internal/backend/upstreams/plain.go
+++ b/internal/backend/upstreams/plain.go
@@ -14,6 +14,7 @@
 	"mimosayard/internal/backend/connect"
 	"mimosayard/internal/core/faults"
 	"mimosayard/internal/core/tables"
+	"mimosayard/internal/net/budget"
 )
 
 // An Order instructs an engine to load something or to change its role.
@@ -40,6 +41,9 @@
 	// AtMostOnce is true if the call must not be sent twice. Such a call gets
 	// a new connection, since an idle one may be dead.
 	AtMostOnce bool
+	// ReadBody reads the answer's body, whose length is -1 if it is not known. Nil stands
+	// for io.ReadAll. A call whose answer has no room is an AnswerDropped fault.
+	ReadBody func(body io.Reader, length int64) ([]byte, error)
 	// OnLimit receives what the answer says of the upstream's limit, unless nil.
 	OnLimit LimitFunc
 }
@@ -83,7 +87,14 @@
 	call.OnLimit.report(response.Header, call.RequestID)
 	connect.RequireBody(response)
 	a.timer.Reset(c.progressTimeout())
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
+	readBody := call.ReadBody
+	if readBody == nil {
+		readBody = func(body io.Reader, _ int64) ([]byte, error) { return io.ReadAll(body) }
+	}
+	body, err := readBody(io.LimitReader(response.Body, maxResponseBytes+1), response.ContentLength)
+	if errors.Is(err, budget.ErrShort) {
+		return PlainResponse{}, faults.New(faults.AnswerDropped, "")
+	}
 	if err != nil {
 		fault := c.classifyError(ctx, a, call.Address, err)
 		if fault.Kind == faults.UpstreamFailed {
--- a/internal/core/faults/faults.go
+++ b/internal/core/faults/faults.go
@@ -47,6 +47,7 @@
 // The error kinds.
 const (
 	AllowanceExceeded   Kind = "allowance_exceeded"
+	AnswerDropped       Kind = "answer_dropped"
 	AnswerIncomplete    Kind = "answer_incomplete"
 	AnswerMismatched    Kind = "answer_mismatched"
 	BadRequest          Kind = "bad_request"
@@ -88,6 +89,7 @@
 // responses holds the response to each kind. It is not changed.
 var responses = map[Kind]Response{
 	AllowanceExceeded:   {http.StatusTooManyRequests, RunNo, time.Second, "the team's allowance is used up"},
+	AnswerDropped:       {http.StatusBadGateway, RunUnknown, time.Second, "there was no room for the answer"},
 	AnswerIncomplete:    {http.StatusBadGateway, RunUnknown, 0, "the upstream's answer ended early"},
 	AnswerMismatched:    {http.StatusBadGateway, RunUnknown, 0, "the upstream answered another request"},
 	BadRequest:          {http.StatusBadRequest, RunNo, 0, "the request is not understood"},
--- a/internal/edge/callers/answer.go
+++ b/internal/edge/callers/answer.go
@@ -2,8 +2,8 @@
 
 import (
 	"encoding/json"
-	"fmt"
 	"net/http"
+	"time"
 
 	"mimosayard/internal/backend/upstreams"
 	"mimosayard/internal/core/faults"
@@ -46,6 +46,9 @@
 	OwnedBy string `json:"owned_by"`
 }
 
+// eventStart and eventEnd enclose the data of a server-sent event.
+var eventStart, eventEnd = []byte("data: "), []byte("\n\n")
+
 // defaultFinishReason is the finish reason of an answer for which the engine
 // reported none.
 const defaultFinishReason = "stop"
@@ -89,7 +92,27 @@
 func (x *exchange) write(data []byte) error {
 	x.prepareWrite()
 	x.responseStarted = true
-	if _, err := x.writer.Write(data); err != nil {
+	return x.writePieces(data)
+}
+
+// writePieces writes a part of the response for which prepareWrite was called. If the budget
+// is short, an answer that the caller does not take is cut off.
+func (x *exchange) writePieces(data []byte) error {
+	if len(data) > writePiece {
+		controller := http.NewResponseController(x.writer)
+		x.answerClaim.Watch(time.Now(), answerPatience, func() { _ = controller.SetWriteDeadline(past) })
+	}
+	for {
+		piece := data[:min(len(data), writePiece)]
+		if _, err := x.writer.Write(piece); err != nil {
+			return faults.New(faults.Canceled, err.Error())
+		}
+		if data = data[len(piece):]; len(data) == 0 {
+			break
+		}
+		x.answerClaim.Progress(len(piece))
+	}
+	if err := x.answerClaim.Keep(); err != nil {
 		return faults.New(faults.Canceled, err.Error())
 	}
 	return nil
@@ -112,8 +135,12 @@
 		header.Set("Content-Type", eventStream)
 		header.Set("Cache-Control", "no-store")
 	}
-	if err := x.write(fmt.Appendf(nil, "data: %s\n\n", data)); err != nil {
-		return err
+	x.prepareWrite()
+	x.responseStarted = true
+	for _, part := range [...][]byte{eventStart, data, eventEnd} {
+		if err := x.writePieces(part); err != nil {
+			return err
+		}
 	}
 	if err := http.NewResponseController(x.writer).Flush(); err != nil {
 		return faults.New(faults.Canceled, err.Error())
--- a/internal/edge/callers/attempts.go
+++ b/internal/edge/callers/attempts.go
@@ -74,7 +74,7 @@
 // upstream rejected or that was lost with this instance's own link.
 func (x *exchange) isUpstreamFailure(address string, fault *faults.Error) bool {
 	switch {
-	case fault.Kind == faults.Canceled, fault.Kind == faults.Interrupted, isRequestRejected(fault):
+	case fault.Kind == faults.Canceled, fault.Kind == faults.Interrupted, fault.Kind == faults.AnswerDropped, isRequestRejected(fault):
 		return false
 	case fault.Run == faults.RunNo, x.server.IsLinkLost == nil:
 		return true
--- a/internal/edge/callers/chat.go
+++ b/internal/edge/callers/chat.go
@@ -66,6 +66,10 @@
 	// maxRatedBytes is the size to which an answer is cut before it is sent
 	// for rating.
 	maxRatedBytes = 16 << 10
+	// bodyCopies and eventCopies are how often the bytes of a body or of an event are
+	// held beside the first time.
+	bodyCopies  = 3
+	eventCopies = 4
 )
 
 // errEscalate cancels a stage call whose answer was not accepted.
@@ -77,6 +81,10 @@
 	if err != nil {
 		return err
 	}
+	// The decoded messages, the prompt and the upstream's request are copies of the body.
+	if err := x.bodyClaim.Grow(bodyCopies * int64(len(data))); err != nil {
+		return faults.New(faults.Overloaded, "there is no room for the body")
+	}
 	completion := &chatCompletion{exchange: x}
 	if err := completion.parse(data); err != nil {
 		return err
@@ -222,7 +230,7 @@
 			// The caller disconnected: bill the tokens generated so far.
 			c.bill(upstreams.Usage{PromptTokens: c.task.Request.PromptTokens, AnswerTokens: tables.Tokens(c.contentEvents)})
 		}
-		if x.responseStarted || isRequestRejected(fault) || attempt >= maxAttempts || ctx.Err() != nil || !x.allowsRetry(fault) {
+		if x.responseStarted || fault.Kind == faults.AnswerDropped || isRequestRejected(fault) || attempt >= maxAttempts || ctx.Err() != nil || !x.allowsRetry(fault) {
 			return fault
 		}
 		attempt++
@@ -238,6 +246,7 @@
 	c.accepted = false
 	c.buffered, c.logProbSum, c.scoredTokens, c.contentEvents, c.finishReason = nil, 0, 0, 0, ""
 	c.answerText.Reset()
+	c.exchange.answerClaim.Release()
 	body, err := c.upstreamBody(step)
 	if err != nil {
 		return upstreams.Usage{}, err
@@ -289,6 +298,15 @@
 // tokens, or at the first event if the step's answer is accepted whatever its
 // confidence.
 func (c *chatCompletion) handleEvent(event upstreams.ChatEvent) error {
+	// The event is in the reader's buffer and in decoded form while it is handled, and
+	// its content is kept for the answer.
+	transient := eventCopies * int64(len(event.Data))
+	if err := c.exchange.answerClaim.Grow(transient + 2*int64(len(event.Content))); err != nil {
+		return faults.New(faults.AnswerDropped, "")
+	}
+	if c.accepted {
+		defer func() { _ = c.exchange.answerClaim.Grow(-transient) }()
+	}
 	c.recordEvent(event)
 	if c.accepted {
 		return c.forwardEvent(event)
--- a/internal/edge/callers/faults.go
+++ b/internal/edge/callers/faults.go
@@ -61,6 +61,7 @@
 	if response.RetryAfter > 0 {
 		header.Set("Retry-After", strconv.Itoa(int(math.Ceil(response.RetryAfter.Seconds()))))
 	}
+	x.boundRest(fault)
 	x.writer.WriteHeader(response.Status)
 	_, _ = x.writer.Write(encoded)
 }
--- a/internal/edge/callers/plain.go
+++ b/internal/edge/callers/plain.go
@@ -89,6 +89,7 @@
 		Header:     x.forwardedHeader(),
 		Body:       body,
 		AtMostOnce: !entry.Route.Idempotent,
+		ReadBody:   x.answerClaim.Read,
 	}
 	if x.request.URL.RawQuery != "" {
 		call.Path += "?" + x.request.URL.RawQuery
@@ -131,7 +132,7 @@
 		}
 		fault = history.recordFailure(faults.FromError(err))
 		retryable := !call.AtMostOnce || fault.Run == faults.RunNo
-		if !retryable || attempt >= maxAttempts || ctx.Err() != nil || !x.allowsRetry(fault) {
+		if !retryable || fault.Kind == faults.AnswerDropped || attempt >= maxAttempts || ctx.Err() != nil || !x.allowsRetry(fault) {
 			return upstreams.PlainResponse{}, fault
 		}
 		failedUpstream = step.Choice.Upstream.Config.Name
@@ -220,8 +221,5 @@
 	x.prepareWrite()
 	x.responseStarted = true
 	x.writer.WriteHeader(answer.Status)
-	if _, err := x.writer.Write(answer.Body); err != nil {
-		return faults.New(faults.Canceled, err.Error())
-	}
-	return nil
+	return x.writePieces(answer.Body)
 }
--- a/internal/edge/callers/server.go
+++ b/internal/edge/callers/server.go
@@ -4,7 +4,6 @@
 
 import (
 	"errors"
-	"io"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -20,6 +19,7 @@
 	"mimosayard/internal/core/router"
 	"mimosayard/internal/core/sessions"
 	"mimosayard/internal/core/tables"
+	"mimosayard/internal/net/budget"
 	"mimosayard/internal/telemetry/events"
 	"mimosayard/internal/telemetry/metrics"
 )
@@ -58,6 +58,9 @@
 	// lost. It may be nil.
 	IsLinkLost func(address string) bool
 
+	// Budget bounds what requests and answers hold. It may be nil.
+	Budget *budget.Budget
+
 	inFlight atomic.Int64
 }
 
@@ -84,6 +87,10 @@
 	// responseStarted is true once a part of the response has been written.
 	// From then on the request can't be retried and its status can't change.
 	responseStarted bool
+	// bodyClaim and answerClaim are what the request's body and its answer hold.
+	bodyClaim, answerClaim budget.Claim
+	// bodyPending is true if the body has not been read to its end.
+	bodyPending bool
 }
 
 const (
@@ -135,6 +142,11 @@
 			requestID: s.NewID(),
 			arrivedAt: time.Now(),
 		}
+		x.bodyPending = request.Body != nil && request.Body != http.NoBody
+		x.bodyClaim.Init(s.Budget, budget.BodyFloor)
+		x.answerClaim.Init(s.Budget, budget.AnswerFloor)
+		defer x.answerClaim.Release()
+		defer x.bodyClaim.Release()
 		w.Header().Set(headerRequestID, x.requestID)
 		err := x.authenticate()
 		if err == nil {
@@ -168,18 +180,59 @@
 }
 
 // readBody returns the whole request body. A body over MaxBodyBytes is a
-// TooLarge fault, one that ends early or arrives too slowly a BadRequest.
+// TooLarge fault, one that ends early or arrives too slowly a BadRequest. One that the
+// budget has no room for is Overloaded, or SlowRequest if it lost its place.
 func (x *exchange) readBody() ([]byte, error) {
 	x.setReadDeadline()
-	data, err := io.ReadAll(http.MaxBytesReader(x.writer, x.request.Body, x.server.MaxBodyBytes))
+	controller := http.NewResponseController(x.writer)
+	if length := x.request.ContentLength; length < 0 || length > budget.BodyFloor {
+		x.bodyClaim.Watch(time.Now(), bodyPatience, func() { _ = controller.SetReadDeadline(past) })
+	}
+	data, err := x.bodyClaim.Read(http.MaxBytesReader(x.writer, x.request.Body, x.server.MaxBodyBytes), x.request.ContentLength)
+	if evicted := x.bodyClaim.Keep(); evicted != nil {
+		err = evicted
+	}
+	if err == nil {
+		err = budget.ConnOf(x.request).Pass()
+	}
 	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
+	switch {
+	case err == nil:
+		x.bodyPending = false
+		return data, nil
+	case errors.Is(err, budget.ErrShort):
+		return nil, faults.New(faults.Overloaded, "there is no room for the body")
+	case errors.Is(err, budget.ErrEvicted):
+		return nil, faults.New(faults.SlowRequest, "the body stalled while there was no room for others")
+	case errors.As(err, &tooLarge):
 		return nil, faults.New(faults.TooLarge, "")
 	}
-	if err != nil {
-		return nil, faults.New(faults.BadRequest, "the body was cut off")
+	return nil, faults.New(faults.BadRequest, "the body was cut off")
+}
+
+const (
+	// bodyPatience and answerPatience are how long a caller may send or take less than
+	// budget.Claim counts as progress while others need its room. An answer has
+	// more, since its request has run.
+	bodyPatience   = 500 * time.Millisecond
+	answerPatience = 2 * time.Second
+	// writePiece is the part of an answer after which its progress is counted.
+	writePiece = 32 << 10
+)
+
+// past is a deadline that has passed.
+var past = time.Unix(1, 0)
+
+// boundRest bounds the rest of a body that was not read to its end, which net/http reads
+// before the next request. It is not read after a body that was refused on its way.
+func (x *exchange) boundRest(fault *faults.Error) {
+	switch {
+	case !x.bodyPending:
+	case fault.Kind == faults.Overloaded, fault.Kind == faults.SlowRequest:
+		x.writer.Header().Set("Connection", "close")
+	default:
+		x.setReadDeadline()
 	}
-	return data, nil
 }
 
 // finish records the request in the metrics and the log, and writes the fault
--- a/internal/edge/ingress/calls.go
+++ b/internal/edge/ingress/calls.go
@@ -23,6 +23,7 @@
 	"mimosayard/internal/core/placement"
 	"mimosayard/internal/core/quarantine"
 	"mimosayard/internal/core/tables"
+	"mimosayard/internal/net/budget"
 	"mimosayard/platform"
 )
 
@@ -45,6 +46,9 @@
 // maxResponseBytes bounds a response that is buffered in memory.
 const maxResponseBytes = 16 << 20
 
+// writePiece is the part of a buffered response after which its progress is counted.
+const writePiece = 32 << 10
+
 // makeCall makes one call to an upstream. It reports whether the request is
 // done, that is, whether no further call may follow.
 func (x *exchange) makeCall(parent context.Context, call *dispatch.Call) (done bool, err error) {
@@ -161,7 +165,10 @@
 	case meta.Stream:
 		return x.relayStream(ctx, cancel, call, response)
 	}
-	buffered, err := bufferResponse(response)
+	buffered, err := x.bufferResponse(response)
+	if errors.Is(err, budget.ErrShort) {
+		return dispatch.Abandoned, true, faults.New(faults.AnswerDropped, "")
+	}
 	if err != nil {
 		return x.classifyCallError(ctx, err)
 	}
@@ -227,7 +234,10 @@
 // request did not run. A 5xx response is kept while another upstream may still
 // succeed.
 func (x *exchange) receiveFailure(ctx context.Context, response *forward.Response) (dispatch.Result, bool, error) {
-	buffered, err := bufferResponse(response)
+	buffered, err := x.bufferResponse(response)
+	if errors.Is(err, budget.ErrShort) {
+		return dispatch.Abandoned, true, faults.New(faults.AnswerDropped, "")
+	}
 	if err != nil {
 		return x.classifyCallError(ctx, err)
 	}
@@ -239,6 +249,9 @@
 	case response.Status < http.StatusInternalServerError:
 		return dispatch.Served, true, x.writeBuffered(buffered)
 	}
+	if earlier := x.upstreamFailure; earlier != nil {
+		_ = x.answerClaim.Grow(-int64(cap(earlier.body)))
+	}
 	x.upstreamFailure = buffered
 	return dispatch.Failed, false, faults.New(faults.UpstreamFailed, "the upstream answered with a failure")
 }
@@ -297,7 +310,22 @@
 	x.headerWritten = true
 	x.setWriteDeadline()
 	x.writer.WriteHeader(response.status)
-	if _, err := x.writer.Write(response.body); err != nil {
+	if len(response.body) <= writePiece {
+		if _, err := x.writer.Write(response.body); err != nil {
+			return errCallerDisconnected
+		}
+		return nil
+	}
+	x.answerClaim.Watch(time.Now(), answerPatience, func() { _ = x.controller.SetWriteDeadline(past) })
+	for rest := response.body; len(rest) > 0; {
+		piece := rest[:min(len(rest), writePiece)]
+		if _, err := x.writer.Write(piece); err != nil {
+			return errCallerDisconnected
+		}
+		x.answerClaim.Progress(len(piece))
+		rest = rest[len(piece):]
+	}
+	if x.answerClaim.Keep() != nil {
 		return errCallerDisconnected
 	}
 	return nil
@@ -331,15 +359,21 @@
 }
 
 // bufferResponse reads a response completely. It returns errResponseTooLarge if
-// the body exceeds maxResponseBytes.
-func bufferResponse(response *forward.Response) (*bufferedResponse, error) {
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
+// the body exceeds maxResponseBytes, and budget.ErrShort if there is no room for it.
+func (x *exchange) bufferResponse(response *forward.Response) (*bufferedResponse, error) {
+	held := x.answerClaim.Held()
+	length, err := strconv.ParseInt(response.Header.Get("Content-Length"), 10, 64)
+	if err != nil || length < 0 || x.request.Method == http.MethodHead {
+		length = -1
+	}
+	body, err := x.answerClaim.Read(io.LimitReader(response.Body, maxResponseBytes+1), length)
+	if err == nil && len(body) > maxResponseBytes {
+		err = errResponseTooLarge
+	}
 	if err != nil {
+		_ = x.answerClaim.Grow(held - x.answerClaim.Held())
 		return nil, err
 	}
-	if len(body) > maxResponseBytes {
-		return nil, errResponseTooLarge
-	}
 	return &bufferedResponse{status: response.Status, header: response.Header, body: body}, nil
 }
 
--- a/internal/edge/ingress/ingress.go
+++ b/internal/edge/ingress/ingress.go
@@ -7,7 +7,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -24,6 +23,7 @@
 	"mimosayard/internal/core/quarantine"
 	"mimosayard/internal/core/tables"
 	"mimosayard/internal/instance/delay"
+	"mimosayard/internal/net/budget"
 	"mimosayard/internal/net/sockets"
 	"mimosayard/internal/telemetry/metrics"
 	"mimosayard/platform"
@@ -47,6 +47,8 @@
 	// DrainWindow is the time after the start of shutdown at which requests in
 	// progress end.
 	DrainWindow time.Duration
+	// Budget bounds what requests and answers hold. It may be nil.
+	Budget *budget.Budget
 
 	inFlight atomic.Int64
 }
@@ -68,6 +70,10 @@
 	// team is nil if the request needs no credential or was not authenticated.
 	team *catalog.Team
 	body []byte
+	// bodyClaim and answerClaim are what the request's body and a buffered answer hold.
+	bodyClaim, answerClaim budget.Claim
+	// bodyPending is true if the body has not been read to its end.
+	bodyPending bool
 	// contentPart returns the part that stands for all requests with this one's content. It
 	// hashes the body once, when it is first called.
 	contentPart func() quarantine.PartID
@@ -94,6 +100,11 @@
 	// callerIOTimeout bounds the read of the request body, and each write of a
 	// part of the response.
 	callerIOTimeout = 10 * time.Second
+	// bodyPatience and answerPatience are how long a caller may send or take less than
+	// budget.Claim counts as progress while others need its room. An answer has
+	// more, since its request has run.
+	bodyPatience   = 500 * time.Millisecond
+	answerPatience = 2 * time.Second
 	// balancerWindow is the time after the start of shutdown during which all
 	// requests are accepted. By its end the load balancer sends new connections
 	// to other instances.
@@ -127,6 +138,11 @@
 		arrived:    time.Now(),
 		metadata:   platform.ParseRequestHeader(request.Header),
 	}
+	x.bodyPending = request.Body != nil && request.Body != http.NoBody
+	x.bodyClaim.Init(s.Budget, budget.BodyFloor)
+	x.answerClaim.Init(s.Budget, budget.AnswerFloor)
+	defer x.answerClaim.Release()
+	defer x.bodyClaim.Release()
 	x.finish(x.serve())
 }
 
@@ -139,6 +155,9 @@
 	if err := x.readBody(); err != nil {
 		return err
 	}
+	if budget.ConnOf(x.request).Pass() != nil {
+		return errCallerDisconnected
+	}
 	if x.isRejected() {
 		return shuttingDownFault()
 	}
@@ -223,28 +242,41 @@
 	if x.request.ContentLength > limit {
 		return faults.New(faults.TooLarge, "")
 	}
-	if x.request.Body == nil || x.request.Body == http.NoBody {
+	if !x.bodyPending {
 		return nil
 	}
 	_ = x.controller.SetReadDeadline(time.Now().Add(callerIOTimeout))
-	data, err := io.ReadAll(http.MaxBytesReader(x.writer, x.request.Body, limit))
+	if length := x.request.ContentLength; length < 0 || length > budget.BodyFloor {
+		x.bodyClaim.Watch(time.Now(), bodyPatience, func() { _ = x.controller.SetReadDeadline(past) })
+	}
+	data, err := x.bodyClaim.Read(http.MaxBytesReader(x.writer, x.request.Body, limit), x.request.ContentLength)
+	if evicted := x.bodyClaim.Keep(); evicted != nil {
+		err = evicted
+	}
 	_ = x.controller.SetReadDeadline(time.Time{})
 	var (
 		tooLarge *http.MaxBytesError
 		network  net.Error
 	)
 	switch {
+	case err == nil:
+		x.body, x.bodyPending = data, false
+		return nil
+	case errors.Is(err, budget.ErrShort):
+		return faults.New(faults.Overloaded, "there is no room for the body")
+	case errors.Is(err, budget.ErrEvicted):
+		return faults.New(faults.SlowRequest, "the body stalled while there was no room for others")
 	case errors.As(err, &tooLarge):
 		return faults.New(faults.TooLarge, "")
 	case errors.As(err, &network) && network.Timeout():
 		return faults.New(faults.SlowRequest, "")
-	case err != nil:
-		return faults.New(faults.BadRequest, "the request body ended early")
 	}
-	x.body = data
-	return nil
+	return faults.New(faults.BadRequest, "the request body ended early")
 }
 
+// past is a deadline that has passed.
+var past = time.Unix(1, 0)
+
 // defaultBodyBytes bounds a request body if the configuration sets no limit.
 const defaultBodyBytes = 4 << 20
 
--- a/internal/edge/ingress/outcomes.go
+++ b/internal/edge/ingress/outcomes.go
@@ -65,11 +65,24 @@
 		header.Set("Retry-After", strconv.FormatFloat(response.RetryAfter.Seconds(), 'f', 2, 64))
 	}
 	x.closeIfStopping()
+	x.boundRest(fault)
 	x.setWriteDeadline()
 	x.writer.WriteHeader(response.Status)
 	_, _ = x.writer.Write(body)
 }
 
+// boundRest bounds the rest of a body that was not read to its end, which net/http reads
+// before the next request. It is not read after a body that was refused on its way.
+func (x *exchange) boundRest(fault *faults.Error) {
+	switch {
+	case !x.bodyPending:
+	case fault.Kind == faults.Overloaded, fault.Kind == faults.SlowRequest:
+		x.writer.Header().Set("Connection", "close")
+	default:
+		_ = x.controller.SetReadDeadline(time.Now().Add(callerIOTimeout))
+	}
+}
+
 // summarizeCall appends a summary of a call for the log. In the summary, "wait"
 // is the start latency and "pause" the mean gap between events, both in
 // milliseconds.
--- a/internal/instance/entry/entry.go
+++ b/internal/instance/entry/entry.go
@@ -31,6 +31,7 @@
 	"mimosayard/internal/instance/settings"
 	"mimosayard/internal/instance/storecache"
 	"mimosayard/internal/instance/uplinks"
+	"mimosayard/internal/net/budget"
 	"mimosayard/internal/net/sockets"
 	"mimosayard/internal/telemetry/events"
 	"mimosayard/internal/telemetry/logs"
@@ -54,6 +55,9 @@
 	metrics      *metrics.Recorder
 	ingress      *ingress.Server
 	dialer       *connect.Dialer
+	// budget and connections bound what callers take of the process.
+	budget      *budget.Budget
+	connections budget.Connections
 	// quarantineChanges are the changes of the quarantine to be written to the store.
 	quarantineChanges chan quarantine.Change
 	// storeRestored tells that the store was restored from a copy.
@@ -130,7 +134,11 @@
 	i.node = i.newNode(i.started)
 	i.dialer = uplinks.NewDialer(uplinks.Options{Node: i.node, Links: i.dispatcher.Links(), HasUpstream: i.dispatcher.HasUpstream, AcquireRoom: i.dispatcher.RoomFor, MemoryMB: s.Shared.MemoryMB, Log: i.log})
 	i.node.OnRejection = func(address string) { i.dispatcher.RecordRejection(time.Now(), address) }
+	i.budget, i.connections.Limit, i.connections.SendBuffer = budget.FromSettings(s.RequestMemoryMB, s.MaxConnections)
+	i.connections.Budget = i.budget
+	i.connections.HeadTimeout = i.headTimeout
 	i.ingress = &ingress.Server{
+		Budget:          i.budget,
 		Dispatcher:      i.dispatcher,
 		UpstreamClient:  forward.New(i.dialer.DialContext),
 		ReportRejection: i.dialer.ReportRejection,
@@ -167,10 +175,15 @@
 			return i.dispatcher.ReleaseQuarantined(time.Now(), quarantine.PartID(name))
 		},
 	}).Handler()
+	i.connections.Attach(callersServer)
 	operatorsServer := i.httpServer(operatorsHandler)
-	group.Go(func() error { return sockets.Serve(callersServer, listeners.callers) })
-	group.Go(func() error { return sockets.Serve(operatorsServer, listeners.operators) })
-	group.Go(func() error { return sockets.Serve(operatorsServer, listeners.ready) })
+	operatorsConnections := budget.Connections{Limit: budget.OperatorsConnections}
+	operatorsConnections.Attach(operatorsServer)
+	group.Go(func() error { return sockets.Serve(callersServer, i.connections.Listener(listeners.callers)) })
+	group.Go(func() error {
+		return sockets.Serve(operatorsServer, operatorsConnections.Listener(listeners.operators))
+	})
+	group.Go(func() error { return sockets.Serve(operatorsServer, operatorsConnections.Listener(listeners.ready)) })
 	group.Go(func() error { return i.node.Serve(tasksCtx, listeners.peers) })
 	for _, cache := range i.caches() {
 		group.Go(func() error { return cache.Run(tasksCtx) })
@@ -234,6 +247,14 @@
 	return sockets.NewServer(handler, limits, i.log)
 }
 
+// headTimeout returns the configuration's timeout for the head of a request, zero for none.
+func (i *Instance) headTimeout() time.Duration {
+	if index := i.dispatcher.Index(); index != nil {
+		return index.Catalog.Limits.HeaderTimeout
+	}
+	return 0
+}
+
 // listen opens all listeners of the instance.
 func (i *Instance) listen(ctx context.Context) (listenerSet, error) {
 	var listeners listenerSet
--- a/internal/instance/service/service.go
+++ b/internal/instance/service/service.go
@@ -35,6 +35,7 @@
 	"mimosayard/internal/instance/idempotency"
 	"mimosayard/internal/instance/settings"
 	"mimosayard/internal/instance/uplinks"
+	"mimosayard/internal/net/budget"
 	"mimosayard/internal/net/sockets"
 	"mimosayard/internal/platform/directory"
 	"mimosayard/internal/platform/objects"
@@ -59,6 +60,9 @@
 	dialer    *connect.Dialer
 	metrics   *metrics.Recorder
 	callers   *callers.Server
+	// budget and connections bound what callers take of the process.
+	budget      *budget.Budget
+	connections budget.Connections
 
 	config     configManager
 	bills      bills.Settler
@@ -118,6 +122,8 @@
 	i.upstreams.Dial = i.dialer.DialContext
 	i.initBills()
 	i.keyClaimer = idempotency.KeyStore{Objects: i.objects, Log: i.log}
+	i.budget, i.connections.Limit, i.connections.SendBuffer = budget.FromSettings(s.RequestMemoryMB, s.MaxConnections)
+	i.connections.Budget = i.budget
 	i.callers = i.newCallersServer()
 	return i
 }
@@ -136,9 +142,14 @@
 	group, tasksCtx := errgroup.WithContext(tasksCtx)
 	callersServer := i.newHTTPServer(i.callers.Handler())
 	drainer := sockets.NewDrainer(callersServer)
+	i.connections.Attach(callersServer)
 	operatorsServer := i.newHTTPServer(i.newOperatorsServer().Handler())
-	group.Go(func() error { return sockets.Serve(callersServer, listeners.callers) })
-	group.Go(func() error { return sockets.Serve(operatorsServer, listeners.operators) })
+	operatorsConnections := budget.Connections{Limit: budget.OperatorsConnections}
+	operatorsConnections.Attach(operatorsServer)
+	group.Go(func() error { return sockets.Serve(callersServer, i.connections.Listener(listeners.callers)) })
+	group.Go(func() error {
+		return sockets.Serve(operatorsServer, operatorsConnections.Listener(listeners.operators))
+	})
 	group.Go(func() error { return i.node.Serve(tasksCtx, listeners.peers) })
 	group.Go(func() error { return i.config.run(tasksCtx) })
 	group.Go(func() error { return i.pollDirectory(tasksCtx) })
@@ -253,6 +264,7 @@
 		Metrics:         i.metrics,
 		Log:             i.log,
 		NewID:           i.newID,
+		Budget:          i.budget,
 		SessionKeys:     i.sessionKeys,
 		StoreBill:       i.bills.Submit,
 		SubmitForRating: i.queueForRating,
--- a/internal/instance/settings/settings.go
+++ b/internal/instance/settings/settings.go
@@ -61,6 +61,13 @@
 	// MaxWaitingBills is the maximum number of bills kept in memory while the
 	// store does not answer. New requests are refused at the limit.
 	MaxWaitingBills int `json:"max_waiting_bills,omitempty"`
+	// RequestMemoryMB is what the heads and bodies of requests and the answers to them may
+	// hold together, in MiB. Zero stands for a share of the memory limit of the Go
+	// runtime, without which there is no bound.
+	RequestMemoryMB int64 `json:"request_memory_mb,omitempty"`
+	// MaxConnections is the maximum number of callers' connections. Zero stands for
+	// what fits the limits on open descriptors and on memory.
+	MaxConnections int `json:"max_connections,omitempty"`
 	// Shared is set for an instance on a shared platform, nil otherwise.
 	Shared *SharedPlatform `json:"shared_platform,omitempty"`
 }
@@ -187,6 +194,12 @@
 	if s.MaxBodyBytes < minMaxBodyBytes {
 		add("max_body_bytes", "is %d; want at least %d", s.MaxBodyBytes, minMaxBodyBytes)
 	}
+	if s.RequestMemoryMB < 0 {
+		add("request_memory_mb", "is %d; want 0 or more", s.RequestMemoryMB)
+	}
+	if s.MaxConnections < 0 {
+		add("max_connections", "is %d; want 0 or more", s.MaxConnections)
+	}
 	if s.MaxWaitingBills < 1 {
 		add("max_waiting_bills", "is %d; want at least 1", s.MaxWaitingBills)
 	}
