Read a stream on while its caller is slow

The instance reads the next event from the upstream only after the caller took the last one, for up to 10 s. Meanwhile the upstream cuts the answer off, since it stays unread.

If the write of an event lasts over 100 ms, read the upstream on into at most 256 kB, which count in the process's budget. Beyond that the caller's connection is cut off and the call ended. Streams of callers that read their events need no further goroutine, and their events go out as before.

TestSlowReaders fails with reading ahead disabled: the upstream gets rid of 1 of 192 events in a second, and of all 192 with it.

--- a/internal/edge/ingress/streams.go
+++ b/internal/edge/ingress/streams.go
@@ -14,6 +14,7 @@
 	"mimosayard/internal/core/dispatch"
 	"mimosayard/internal/core/faults"
 	"mimosayard/internal/core/placement"
+	"mimosayard/internal/net/budget"
 )
 
 const (
@@ -37,34 +38,33 @@
 // that fails is not relayed, so that another upstream can resume the stream
 // after the last complete event.
 func (x *exchange) relayStream(ctx context.Context, cancel context.CancelCauseFunc, call *dispatch.Call, response *forward.Response) (dispatch.Result, bool, error) {
-	reader := bufio.NewReader(response.Body)
 	idleTimeout := max(minStreamIdleTimeout, streamIdleGapFactor*x.route.GapTarget)
 	var idleTimer *time.Timer
 	if x.route.Resumable {
 		idleTimer = time.AfterFunc(idleTimeout, func() { cancel(errStreamIdle) })
 		defer idleTimer.Stop()
 	}
+	events := &eventReader{exchange: x, reader: bufio.NewReader(response.Body), onRead: func() {
+		if idleTimer != nil {
+			idleTimer.Reset(idleTimeout)
+		}
+	}}
+	defer events.stop(func() { cancel(nil) })
 	key := x.routeKey()
 	lastEventAt := time.Time{}
 	for {
-		event, err := readEvent(reader)
+		event, err := events.next()
 		if errors.Is(err, io.EOF) {
 			x.writeStreamHeader(response)
 			return dispatch.Served, true, nil
 		}
-		if errors.Is(err, errAnswerHead) {
-			return dispatch.Mismatched, false, faults.New(faults.AnswerMismatched, err.Error())
-		}
 		if err != nil {
-			return x.classifyCallError(ctx, err)
+			return x.classifyStreamError(ctx, err)
 		}
 		if !x.isNextEvent(event.id) {
 			return dispatch.Mismatched, false, faults.New(faults.AnswerMismatched, "events are out of order")
 		}
-		if idleTimer != nil {
-			idleTimer.Reset(idleTimeout)
-		}
-		now := time.Now()
+		now := event.arrived
 		if lastEventAt.IsZero() {
 			call.RecordFirstEvent(now)
 		} else {
@@ -72,18 +72,37 @@
 			x.server.Metrics.RecordTokenGap(key, now.Sub(lastEventAt))
 		}
 		lastEventAt = now
-		if err := x.writeEvent(response, event); err != nil {
+		events.beginWrite()
+		err = x.writeEvent(response, event)
+		events.endWrite()
+		events.release(event)
+		if err != nil {
 			return dispatch.Abandoned, true, err
 		}
 	}
 }
 
+// classifyStreamError is classifyCallError for the errors of eventReader.
+func (x *exchange) classifyStreamError(ctx context.Context, err error) (dispatch.Result, bool, error) {
+	switch {
+	case errors.Is(err, errAnswerHead):
+		return dispatch.Mismatched, false, faults.New(faults.AnswerMismatched, err.Error())
+	case errors.Is(err, errCallerSlow):
+		return dispatch.Abandoned, true, errCallerDisconnected
+	case errors.Is(err, budget.ErrShort):
+		return dispatch.Abandoned, true, faults.New(faults.AnswerDropped, "")
+	}
+	return x.classifyCallError(ctx, err)
+}
+
 // event is a server-sent event.
 type event struct {
 	// raw holds the event as received, with the empty line that ends it.
 	raw []byte
 	// id is empty for an event without one.
 	id string
+	// arrived is when the event was read.
+	arrived time.Time
 }
 
 // readEvent reads an event up to the empty line that ends it. It returns io.EOF
