--- a/internal/instance/entry/tasks.go
+++ b/internal/instance/entry/tasks.go
@@ -17,6 +17,7 @@
 	"mimosayard/internal/core/tables"
 	"mimosayard/internal/fleet/peers"
 	"mimosayard/internal/instance/delay"
+	"mimosayard/internal/instance/room"
 	"mimosayard/internal/instance/settings"
 	"mimosayard/internal/instance/storecache"
 	"mimosayard/internal/telemetry/events"
@@ -339,6 +340,7 @@
 func (i *Instance) monitorProcess(ctx context.Context) error {
 	lastNow, lastBoot := time.Now(), bootTime()
 	reportedDrops := int64(0)
+	callersRoom := room.Monitor{Budget: i.budget, Connections: &i.connections, Metrics: i.metrics, Log: i.log}
 	for delay.Sleep(ctx, processCheckInterval) {
 		now, boot := time.Now(), bootTime()
 		if pause := boot - lastBoot - now.Sub(lastNow); pause > minReportedPause {
@@ -349,6 +351,7 @@
 			events.LogEntriesDropped.Log(i.log, zap.Int64("entries", count-reportedDrops))
 			reportedDrops = count
 		}
+		callersRoom.Report()
 		i.metrics.SetGauge("store_calls", float64(i.store.Calls()))
 		i.metrics.SetGauge("in_flight", float64(i.ingress.InFlight()))
 		i.metrics.SetGauge("relays", float64(i.node.Relays()))
--- a/internal/instance/service/service.go
+++ b/internal/instance/service/service.go
@@ -33,6 +33,7 @@
 	"mimosayard/internal/instance/bills"
 	"mimosayard/internal/instance/delay"
 	"mimosayard/internal/instance/idempotency"
+	"mimosayard/internal/instance/room"
 	"mimosayard/internal/instance/settings"
 	"mimosayard/internal/instance/uplinks"
 	"mimosayard/internal/net/budget"
@@ -63,6 +64,7 @@
 	// budget and connections bound what callers take of the process.
 	budget      *budget.Budget
 	connections budget.Connections
+	callersRoom room.Monitor
 
 	config     configManager
 	bills      bills.Settler
@@ -124,6 +126,7 @@
 	i.keyClaimer = idempotency.KeyStore{Objects: i.objects, Log: i.log}
 	i.budget, i.connections.Limit, i.connections.SendBuffer = budget.FromSettings(s.RequestMemoryMB, s.MaxConnections)
 	i.connections.Budget = i.budget
+	i.callersRoom = room.Monitor{Budget: i.budget, Connections: &i.connections, Metrics: i.metrics, Log: i.log}
 	i.callers = i.newCallersServer()
 	return i
 }
--- a/internal/instance/service/tasks.go
+++ b/internal/instance/service/tasks.go
@@ -191,6 +191,7 @@
 	for _, change := range i.router.QuarantineChanges() {
 		events.LogQuarantine(i.log, change)
 	}
+	i.callersRoom.Report()
 	open, held := i.bills.Counts()
 	i.metrics.SetGauge("bills_open", float64(open))
 	i.metrics.SetGauge("bills_held", float64(held))
--- a/internal/telemetry/events/events.go
+++ b/internal/telemetry/events/events.go
@@ -76,6 +76,11 @@
 	UpstreamBrittle = Event{421, zap.InfoLevel, "number of rejections that an upstream tolerates has changed", "None; if callers are refused as overloaded, look at the upstream for why it tolerates few."}
 )
 
+// Events of callers.
+var (
+	CallersRefused = Event{430, zap.WarnLevel, "callers were refused or closed for want of room", "Look at which teams send large or slow requests; see OPERATIONS.md, callers that are refused for want of room."}
+)
+
 // Events of versions and their rollouts.
 var (
 	RolloutAdvanced  = Event{500, zap.InfoLevel, "rollout advanced to its next step", "None."}
@@ -111,7 +116,7 @@
 		ConfigInForce, ConfigAccepted, ConfigRejected, ConfigUnreadable,
 		PlatformUnavailable, PlatformAvailable, RaterUnavailable, WatchHistoryExpired, ObjectsChanged, ObjectUndecodable, RolloutStatusWritten, RolloutStatusNotWritten, StoreRestored,
 		PeerDown, BillCopiesHeld, PeerBillsSettled, BillsPending, BillLimitReached, BillNotCopied,
-		LinksLost, LinksBack, UpstreamLimited, UpstreamBrittle,
+		LinksLost, LinksBack, UpstreamLimited, UpstreamBrittle, CallersRefused,
 		RolloutAdvanced, VersionWithdrawn, VersionJudgedBad, PartQuarantined, PartReleased, PartNotStored,
 		OrderAcknowledged, OrdersFailed,
 		RequestFailed, RequestServed, IdempotencyKeyNotReleased,
