Abort requests whose connection was closed for want of room

A head that lost its place just before it was whole still reached the handler, which could pass its request on although the connection was closed. Abort it before it reaches the handler. TestEvictedHeadsDoNotRun covers it.

Also test the refusal of a body at the product's own interface.

--- a/internal/edge/callers/callers_test.go
+++ b/internal/edge/callers/callers_test.go
@@ -2,11 +2,16 @@
 
 import (
 	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
 	"mimosayard/internal/core/faults"
+	"mimosayard/internal/net/budget"
 )
 
 // A caller retries a request that is reported as not run. A request whose
@@ -60,6 +65,7 @@
 		{"timed out over a lost link", "lost", faults.New(faults.UpstreamTimeout, ""), false},
 		{"broken over a lost link", "lost", faults.New(faults.AnswerIncomplete, ""), false},
 		{"reached by no path", "lost", faults.NotRun(faults.UpstreamFailed, ""), true},
+		{"without room for the answer", "works", faults.New(faults.AnswerDropped, ""), false},
 		{"canceled", "works", faults.New(faults.Canceled, ""), false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -69,6 +75,32 @@
 	is.New(t).True((&exchange{server: &Server{}}).isUpstreamFailure("lost", faults.New(faults.UpstreamTimeout, "")))
 }
 
+// TestBodiesWithoutRoomAreNotRun guards against a refusal for want of room that does not say
+// that the request was not run, or keeps the connection of a body that was not read.
+func TestBodiesWithoutRoomAreNotRun(t *testing.T) {
+	is := is.New(t)
+	for size, status := range map[int]int{100: http.StatusOK, 200 << 10: http.StatusServiceUnavailable} {
+		recorder := httptest.NewRecorder()
+		x := &exchange{
+			server: &Server{MaxBodyBytes: 1 << 20, ClientIOTimeout: time.Second}, writer: recorder,
+			request: httptest.NewRequest(http.MethodPost, "/", strings.NewReader(strings.Repeat("b", size))), bodyPending: true,
+		}
+		x.bodyClaim.Init(budget.New(100<<10), budget.BodyFloor)
+		body, err := x.readBody()
+		if status == http.StatusOK {
+			is.NoErr(err)
+			is.Equal(len(body), size)
+			continue
+		}
+		fault := faults.FromError(err)
+		is.Equal(fault.Run, faults.RunNo)
+		x.writeFault(fault)
+		is.Equal(recorder.Code, status)
+		is.Equal(recorder.Header().Get("Connection"), "close")
+		is.True(recorder.Header().Get("Retry-After") != "")
+	}
+}
+
 // Whatever its body, a request must be accepted only if it is valid JSON, and
 // must otherwise be refused as a bad request that was not run.
 func FuzzParseChatRequest(f *testing.F) {
--- a/internal/net/budget/connections.go
+++ b/internal/net/budget/connections.go
@@ -90,10 +90,9 @@
 	}
 	handler := server.Handler
 	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
-		if c := ConnOf(request); c != nil {
-			// An evicted head has lost its connection.
-			_ = c.head.Keep()
-			c.enter(phaseBody)
+		if c := ConnOf(request); c != nil && (c.head.Keep() != nil || !c.enter(phaseBody)) {
+			// The connection was closed for want of room, so the request must not run.
+			panic(http.ErrAbortHandler)
 		}
 		handler.ServeHTTP(w, request)
 	})
--- a/internal/net/budget/connections_test.go
+++ b/internal/net/budget/connections_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"strings"
 	"testing"
@@ -140,3 +141,34 @@
 	is.Equal(status(fresh), 0)
 	is.Equal(status(kept), 0)
 }
+
+// TestEvictedHeadsDoNotRun guards against a request that is passed on although its connection
+// was closed just before its head was whole.
+func TestEvictedHeadsDoNotRun(t *testing.T) {
+	is := is.New(t)
+	connections, server := &Connections{Budget: New(1 << 20)}, &http.Server{}
+	ran := false
+	server.Handler = http.HandlerFunc(func(http.ResponseWriter, *http.Request) { ran = true })
+	connections.Attach(server)
+	serve := func(c *Conn) (aborted any) {
+		defer func() { aborted = recover() }()
+		request := httptest.NewRequest(http.MethodGet, "/", nil)
+		server.Handler.ServeHTTP(httptest.NewRecorder(), request.WithContext(server.ConnContext(t.Context(), c)))
+		return nil
+	}
+	for _, lost := range []bool{false, true} {
+		ours, theirs := net.Pipe()
+		defer theirs.Close()
+		c := connections.add(ours, time.Now())
+		go func() { _, _ = io.WriteString(theirs, strings.Repeat("a", 2*headFloor)) }()
+		_, err := io.ReadFull(c, make([]byte, 2*headFloor))
+		is.NoErr(err)
+		if lost {
+			is.True(connections.Budget.evictStalled(nil, time.Now().Add(headPatience)))
+		}
+		ran = false
+		aborted := serve(c)
+		is.Equal(ran, !lost)
+		is.Equal(aborted == http.ErrAbortHandler, lost)
+	}
+}
