--- a/internal/net/budget/connections_test.go
+++ b/internal/net/budget/connections_test.go
@@ -169,6 +169,10 @@
 		ran = false
 		aborted := serve(c)
 		is.Equal(ran, !lost)
-		is.Equal(aborted == http.ErrAbortHandler, lost)
+		var want any
+		if lost {
+			want = http.ErrAbortHandler
+		}
+		is.Equal(aborted, want)
 	}
 }
