Expect starts by the pace of the upstream

The estimator of a model learns from the answers of all upstreams, while engines run at 0.6 to 1.6 of the usual speed for long and take 2.5 times as long for moments. So expected starts were wrong at most of them.

An upstream that states its pace now has one: the ratio of observed to expected starts and gaps between events, over the fleet's sums and relative to the mean of the service's upstreams, times the last statement relative to what that upstream usually states. The statement counts for 400 ms. It scales the expected wait at choice, in the start timeout and for escalations, and the estimator is fitted to waits divided by it. Each instance adds three sums for an upstream, and only where it had an answer in the last two minutes. Nothing goes into cooldown by pace. The call summary names a pace other than 1.

--- a/internal/core/dispatch/dispatch.go
+++ b/internal/core/dispatch/dispatch.go
@@ -84,7 +84,10 @@
 	latencies map[latencyKey]*latencyStats
 	// estimators predict the start of the answers of each model.
 	estimators map[tables.ModelID]*forecast.Estimator
-	waiting    waitingList
+	// usualGaps are the mean gaps between events by model, at the usual pace. They come from
+	// upstreams that state their pace.
+	usualGaps map[tables.ModelID]float64
+	waiting   waitingList
 	// urgencies is the mix of urgencies in the prompts of recent calls.
 	urgencies urgencyMix
 }
@@ -310,6 +313,7 @@
 			failures:   map[tables.UpstreamID]float64{},
 			latencies:  map[latencyKey]*latencyStats{},
 			estimators: map[tables.ModelID]*forecast.Estimator{},
+			usualGaps:  map[tables.ModelID]float64{},
 		}
 		d.services[name] = s
 	}
--- a/internal/core/dispatch/evidence.go
+++ b/internal/core/dispatch/evidence.go
@@ -90,6 +90,7 @@
 			set(upstreamKey(valueWork, u), u.OwnWork)
 			set(upstreamKey(valueRuns, u), math.Round(u.Calls))
 			set(upstreamKey(valueFails, u), math.Round(u.Failures))
+			contributePace(now, u, set)
 			if limit := u.StatedRejections(now); limit > 0 {
 				set(anyStatementKey, 1)
 				set(statementKey(valueRejections, u), float64(limit))
@@ -135,6 +136,7 @@
 				d.updateLimit(now, s, u, u.Limit.ApplyTotals(now, lifeName(u), totals, reported))
 			}
 		}
+		s.applyPaces(totals, reported)
 		verdicts = append(verdicts, d.judgeRollout(s, totals, reported)...)
 	}
 	return verdicts
--- a/internal/core/dispatch/forecasts.go
+++ b/internal/core/dispatch/forecasts.go
@@ -63,7 +63,7 @@
 	if u == nil {
 		return 0
 	}
-	return wait.At(u, u == cacheHolder).Duration()
+	return wait.At(now, u, u == cacheHolder).Duration()
 }
 
 // readsPrompt reports whether an engine reads a prompt for the task.
--- a/internal/core/dispatch/models.go
+++ b/internal/core/dispatch/models.go
@@ -86,7 +86,7 @@
 	timeout := max(minStartTimeout, startTimeoutFactor*call.ExpectedStart)
 	if task.readsPrompt() {
 		// An engine that reads a long prompt sends nothing to others either.
-		timeout = max(timeout, backlogTimeoutFactor*forecast.Milliseconds(call.UpstreamWork).Duration())
+		timeout = max(timeout, backlogTimeoutFactor*forecast.Milliseconds(call.UpstreamWork*call.Pace).Duration())
 	}
 	if route.LatencyTarget > 0 && route.Kind == catalog.Safe {
 		timeout = min(timeout, 3*route.LatencyTarget)
--- /dev/null
+++ b/internal/core/dispatch/paces.go
@@ -0,0 +1,100 @@
+package dispatch
+
+import (
+	"math"
+	"time"
+
+	"mimosayard/internal/core/aggregates"
+	"mimosayard/internal/core/forecast"
+	"mimosayard/internal/core/placement"
+)
+
+// anyPaceKey is the key of the number of instances to which any upstream has stated its pace.
+var anyPaceKey = aggregates.NewKey("upstream", "pace")
+
+// The elements of the list of values at an upstream's pace key.
+const (
+	paceAnswers = iota
+	paceRatios
+	paceStated
+)
+
+// paceKey is the first of the keys of the sums for the pace of an upstream's present life.
+func paceKey(u *placement.Upstream) aggregates.Key {
+	return aggregates.NewKey("pace", lifeName(u))
+}
+
+// contributePace adds this instance's part of the sums for an upstream's pace. Small changes
+// are not sent: an error of two percent in a sum is one in the pace.
+func contributePace(now time.Time, u *placement.Upstream, set func(key aggregates.Key, value float64)) {
+	own := u.OwnPaceSums(now)
+	if own.Answers <= 0 {
+		return
+	}
+	key := paceKey(u)
+	set(anyPaceKey, 1)
+	set(key.Offset(paceAnswers), own.Answers)
+	set(key.Offset(paceRatios), own.Ratios)
+	set(key.Offset(paceStated), own.Stated)
+}
+
+// applyPaces updates the lasting paces of the service's upstreams from the fleet's sums. They are
+// relative to their mean: the estimators, which are fitted at the usual pace, would otherwise
+// drift against them.
+func (s *service) applyPaces(totals, reported aggregates.Values) {
+	logs, count := 0.0, 0
+	for _, u := range s.upstreams {
+		if totals[anyPaceKey] > 0 {
+			key := paceKey(u)
+			u.SetFleetPaceSums(placement.PaceSums{
+				Answers: totals.Others(reported, key.Offset(paceAnswers)),
+				Ratios:  totals.Others(reported, key.Offset(paceRatios)),
+				Stated:  totals.Others(reported, key.Offset(paceStated)),
+			})
+		}
+		if u.StatesPace() {
+			logs += math.Log(u.MeanPaceRatio())
+			count++
+		}
+	}
+	if count == 0 {
+		return
+	}
+	mean := math.Exp(logs / float64(count))
+	for _, u := range s.upstreams {
+		if u.StatesPace() {
+			u.SetLastingPace(u.MeanPaceRatio() / mean)
+		}
+	}
+}
+
+// observeStart fits the estimator of the call's model to the wait for the start of its answer.
+// The wait is divided by the upstream's pace, since the estimator is that of all upstreams.
+func (d *Dispatcher) observeStart(now time.Time, task *Task, call *Call) {
+	u, e, wait := call.upstream, d.estimator(task, task.runModel()), forecast.NewMilliseconds(call.startLatency)
+	if u.StatesPace() {
+		usual := wait / forecast.Milliseconds(u.PaceOver(now, call.startLatency))
+		u.ObservePace(now, call.startLatency, float64(wait/e.Wait(task.prompt(), call.place).At(call.backlog)))
+		wait = usual
+	}
+	e.Observe(task.prompt(), call.place, call.backlog, wait)
+}
+
+// gapMemory is the factor by which the weight of past gaps decreases with each answer.
+const gapMemory = 0.97
+
+// observeGap records the mean gap between the events of an answer for the pace of its upstream.
+func (s *service) observeGap(now time.Time, task *Task, call *Call) {
+	if !call.upstream.StatesPace() || call.events < minGaps {
+		return
+	}
+	gap, model := float64(call.MeanGap()), task.runModel()
+	duration := time.Duration(call.events) * call.MeanGap()
+	usual := gap / call.upstream.PaceOver(now, duration)
+	known := s.usualGaps[model]
+	if known > 0 {
+		call.upstream.ObservePace(now, duration, gap/known)
+		usual = gapMemory*known + (1-gapMemory)*usual
+	}
+	s.usualGaps[model] = usual
+}
--- a/internal/core/dispatch/task.go
+++ b/internal/core/dispatch/task.go
@@ -98,6 +98,8 @@
 	// ExpectedStart is the expected wait for the start of the answer, zero if
 	// the call has no prompt.
 	ExpectedStart time.Duration
+	// Pace is the upstream's pace as of the choice, 1 if it is as usual or not stated.
+	Pace float64
 
 	upstream *placement.Upstream
 	// urgency is the value of Urgency.
@@ -233,6 +235,7 @@
 		Model:        task.model,
 		UpstreamWork: u.Work(),
 		upstream:     u,
+		Pace:         u.Pace(now),
 		work:         1,
 		sentAt:       now,
 	}
@@ -248,7 +251,7 @@
 		e := d.estimator(task, task.runModel())
 		readTime := e.ReadTime(task.prompt(), call.place)
 		call.work = float64(readTime)
-		call.ExpectedStart = wait.At(u, u == cacheHolder).Duration()
+		call.ExpectedStart = wait.At(now, u, u == cacheHolder).Duration()
 		call.urgency = urgencyFor(readTime)
 		call.backlog = forecast.Milliseconds(u.Work() * task.service.urgencies.shareAhead(call.urgency))
 		task.service.urgencies.add(call.urgency, call.work)
@@ -280,7 +283,7 @@
 	call.startLatency = now.Sub(call.sentAt)
 	call.removePromptWork()
 	if call.ExpectedStart > 0 {
-		d.estimator(task, task.runModel()).Observe(task.prompt(), call.place, call.backlog, forecast.NewMilliseconds(call.startLatency))
+		d.observeStart(now, task, call)
 	}
 	larger := d.escalationModel(now, task, confidence)
 	if larger == "" {
@@ -461,6 +464,7 @@
 	}
 	if result == Served && call.started {
 		task.service.observeLatency(task, call)
+		task.service.observeGap(now, task, call)
 	}
 	d.recordForQuarantine(now, task, call, result)
 }
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -46,6 +46,8 @@
 	leaving bool
 	// limited is true while the upstream limits its rejections or its calls.
 	limited bool
+	// paced is true once the upstream has stated its pace.
+	paced bool
 
 	catalog.Upstream
 	// Calls and Failures count this instance's recent calls and those of them
@@ -80,6 +82,7 @@
 	rejections rejectionLimit
 	admission  admission
 	reported   loadReport
+	pace       paceState
 	// misdirections are those of the models whose calls the upstream has rejected as
 	// misdirected, at most maxMisdirections. It is nil until there is one.
 	misdirections map[tables.ModelID]misdirection
@@ -318,12 +321,16 @@
 
 // At returns the expected wait at the upstream, of which holder tells whether it
 // is the cache holder.
-func (w *PromptWait) At(u *Upstream, holder bool) forecast.Milliseconds {
-	line := w.Elsewhere
+func (w *PromptWait) At(now time.Time, u *Upstream, holder bool) forecast.Milliseconds {
+	line := &w.Elsewhere
 	if holder {
-		line = w.AtHolder
+		line = &w.AtHolder
 	}
-	return line.At(forecast.Milliseconds(u.Work()))
+	expected := line.At(forecast.Milliseconds(u.Work()))
+	if u.paced {
+		expected *= forecast.Milliseconds(u.Pace(now))
+	}
+	return expected
 }
 
 // A Chooser chooses upstreams. It is not safe for concurrent use.
@@ -352,7 +359,7 @@
 			continue
 		}
 		if criteria.Prompt != nil {
-			return c.chooseByWait(criteria.AffinityKey, criteria.DataCenter, criteria.Prompt)
+			return c.chooseByWait(now, criteria.AffinityKey, criteria.DataCenter, criteria.Prompt)
 		}
 		return chooseByLoad(c.candidates, criteria.DataCenter, c.Random), nil, nil
 	}
@@ -402,7 +409,7 @@
 // shortest one, so that requests with the same key also stay together at
 // upstreams other than the cache holder. Where these send a key is where the
 // cache holder looks for parts that it lacks.
-func (c *Chooser) chooseByWait(key uint64, dataCenter tables.DataCenterID, wait *PromptWait) (chosen, cacheHolder, source *Upstream) {
+func (c *Chooser) chooseByWait(now time.Time, key uint64, dataCenter tables.DataCenterID, wait *PromptWait) (chosen, cacheHolder, source *Upstream) {
 	c.scores, c.waits = c.scores[:0], c.waits[:0]
 	local := xxhash.Sum64String(string(dataCenter))
 	scoreKey := key
@@ -414,6 +421,9 @@
 	shortest := forecast.Milliseconds(math.Inf(1))
 	for i, u := range c.candidates {
 		score, expected := u.Score(scoreKey), wait.Elsewhere.At(forecast.Milliseconds(u.Work()))
+		if u.paced {
+			expected *= forecast.Milliseconds(u.Pace(now))
+		}
 		if u.dataCenterHash != local {
 			expected += wait.RemotePenalty
 		}
@@ -430,17 +440,12 @@
 	}
 	if key != 0 {
 		cacheHolder = c.candidates[holder]
-		c.waits[holder] += wait.AtHolder.At(forecast.Milliseconds(cacheHolder.Work())) - wait.Elsewhere.At(forecast.Milliseconds(cacheHolder.Work()))
+		c.waits[holder] += wait.At(now, cacheHolder, true) - wait.At(now, cacheHolder, false)
 		shortest = min(shortest, c.waits[holder])
 	}
 	best := holder
 	if c.waits[holder] > shortest+wait.MoveCost {
-		best = -1
-		for i, expected := range c.waits {
-			if expected <= shortest+wait.MoveCost && (best < 0 || c.scores[i] > c.scores[best]) {
-				best = i
-			}
-		}
+		best = c.highestWithin(shortest + wait.MoveCost)
 	}
 	chosen = c.candidates[best]
 	switch {
@@ -453,6 +458,18 @@
 	return chosen, cacheHolder, source
 }
 
+// highestWithin returns the index of the candidate with the highest score among those whose
+// expected wait is within the bound, -1 if there is none.
+func (c *Chooser) highestWithin(bound forecast.Milliseconds) int {
+	best := -1
+	for i, expected := range c.waits {
+		if expected <= bound && (best < 0 || c.scores[i] > c.scores[best]) {
+			best = i
+		}
+	}
+	return best
+}
+
 // chooseByLoad returns the candidate with the least work per slot.
 func chooseByLoad(candidates []*Upstream, dataCenter tables.DataCenterID, random *rand.Rand) *Upstream {
 	var best *Upstream
--- a/internal/edge/ingress/outcomes.go
+++ b/internal/edge/ingress/outcomes.go
@@ -95,6 +95,9 @@
 		upstream += " admitted by " + string(call.Owner)
 	}
 	summary := fmt.Sprintf("%s %s %s wait %d expected %d pause %d work %.1f", resultNames[result], upstream, call.Model, call.StartLatency().Milliseconds(), call.ExpectedStart.Milliseconds(), call.MeanGap().Milliseconds(), call.UpstreamWork)
+	if call.Pace != 1 {
+		summary += fmt.Sprintf(" pace %.2f", call.Pace)
+	}
 	if err != nil {
 		summary += " (" + err.Error() + ")"
 	}
