Emulate engines of different pace

The emulated engines all had one speed, instances exchanged totals each half second only, and nothing measured how even the load was. Engines may now have lasting paces and slow moments, which they state as the fourth figure of their load, and the interval of the exchange is a field of the load. Results have the busiest engine's work relative to the mean one, weighted by lasting pace and also by windows of 5 s, and the mean work of an engine, which grows when shared parts are read again.

--- a/internal/evaluation/batching/batching.go
+++ b/internal/evaluation/batching/batching.go
@@ -85,6 +85,12 @@
 	// StepTimeFactor multiplies the time of each step. Values below one count
 	// as one.
 	StepTimeFactor float64
+	// Pace is how long a step takes relative to the usual time, which may be less than one.
+	// Zero counts as one.
+	Pace float64
+	// WorkMS is the time that the engine has spent, at the usual pace, on prompts and tokens
+	// beyond the base time of its steps.
+	WorkMS float64
 
 	running []*Job
 	waiting []*Job
@@ -251,8 +257,14 @@
 		chunkTokens = min(e.Config.ChunkTokens, prefillJob.prefillTokensLeft)
 		stepMS += prefillJob.TimeFactor * float64(chunkTokens) / e.Config.PrefillTokensPerMS
 	}
-	e.Scheduler.Schedule(milliseconds(stepMS*max(1, e.StepTimeFactor)), func() {
+	workMS := stepMS - e.Config.StepMS
+	pace := e.Pace
+	if pace == 0 {
+		pace = 1
+	}
+	e.Scheduler.Schedule(milliseconds(stepMS*max(1, e.StepTimeFactor)*pace), func() {
 		e.stepPending = false
+		e.WorkMS += workMS
 		e.finishStep(prefillJob, chunkTokens)
 		e.admit()
 		e.scheduleStep()
--- a/internal/evaluation/loadsim/expectations.go
+++ b/internal/evaluation/loadsim/expectations.go
@@ -35,6 +35,10 @@
 	"refusal_ms":       func(r Results) float64 { return r.MaxRefusalMS },
 	"crashes":          func(r Results) float64 { return float64(r.Crashes) },
 	"late_crash_calls": func(r Results) float64 { return float64(r.LateCrashCalls) },
+	"busiest_to_mean":  func(r Results) float64 { return r.BusiestToMean },
+	"busiest_window":   func(r Results) float64 { return r.BusiestToMeanWindow },
+	"engine_work_ms":   func(r Results) float64 { return r.EngineWorkMS },
+	"first_p99_ms":     func(r Results) float64 { return r.FirstEventMS.P99 },
 	"beside_crashes":   func(r Results) float64 { return r.BesideCrashes },
 	// The fraction of served requests relative to that of all requests, for the
 	// class, team, size or data centre with the lowest.
--- a/internal/evaluation/loadsim/load.go
+++ b/internal/evaluation/loadsim/load.go
@@ -32,6 +32,11 @@
 	Surges       []Surge       `json:"surges,omitempty"`
 	Faults       []Fault       `json:"faults,omitempty"`
 	CrashingPart *CrashingPart `json:"crashing_part,omitempty"`
+	// Paces makes the engines state four figures of their load.
+	Paces *Paces `json:"paces,omitempty"`
+	// ExchangeMS is the time between two exchanges of the fleet's totals, which are between
+	// one and two of these times old when they are used. Zero means half a second.
+	ExchangeMS   float64       `json:"exchange_ms,omitempty"`
 	Expectations []Expectation `json:"expects,omitempty"`
 }
 
@@ -128,6 +133,21 @@
 	RestartSeconds float64 `json:"restart"`
 }
 
+// Paces are how long work takes on the engines, relative to the usual time.
+type Paces struct {
+	// Lasting are the lasting paces, which the engines have in turn.
+	Lasting []float64 `json:"lasting"`
+	// MomentFactor multiplies the pace of an engine for moments of MomentMS, with a mean time
+	// of MomentIntervalSeconds between them. There are no moments if that is zero.
+	MomentFactor          float64 `json:"moment_times,omitempty"`
+	MomentMS              float64 `json:"moment_ms,omitempty"`
+	MomentIntervalSeconds float64 `json:"moment_every,omitempty"`
+	// StatesLasting makes the engines state their whole pace, otherwise only that of moments.
+	StatesLasting bool `json:"states_lasting,omitempty"`
+	// Unstated makes the engines state nothing, to compare with.
+	Unstated bool `json:"unstated,omitempty"`
+}
+
 // Expectation bounds a measure of the results from below or from above.
 type Expectation struct {
 	Measure string   `json:"measure"`
--- a/internal/evaluation/loadsim/request.go
+++ b/internal/evaluation/loadsim/request.go
@@ -218,6 +218,7 @@
 	if r.isStale(call) {
 		return
 	}
+	r.reportLoad(call, s.engineByAddress[call.Upstream.Address])
 	confidence := meanConfidence + confidenceSlope*(model.Quality-r.difficulty) + confidenceNoise*s.random.NormFloat64()
 	reported := s.policy.mapConfidence(int(min(100, max(0, confidence))))
 	if r.dispatcher.StartAnswer(s.clock(), r.task, call, reported) {
--- a/internal/evaluation/loadsim/results.go
+++ b/internal/evaluation/loadsim/results.go
@@ -42,6 +42,14 @@
 	// request, and GapMS the time between two events.
 	FirstEventMS Quantiles `json:"first_ms"`
 	GapMS        Quantiles `json:"gap_ms"`
+	// BusiestToMean is the work of the busiest engine relative to that of the mean one,
+	// BusiestToMeanWindow the mean of the same over windows of five seconds. Work counts by
+	// the lasting paces. Both are zero if the load has no paces.
+	BusiestToMean       float64 `json:"busiest_to_mean,omitempty"`
+	BusiestToMeanWindow float64 `json:"busiest_to_mean_window,omitempty"`
+	// EngineWorkMS is the mean work of an engine at the usual pace. It grows with shared
+	// parts that are read more often.
+	EngineWorkMS float64 `json:"engine_work_ms,omitempty"`
 	// Classes, Teams, Sizes and DataCenters hold the outcomes by group, sorted
 	// by name. Sizes groups the requests by their rank in size within a class.
 	Classes     []OutcomeShares `json:"classes"`
@@ -83,6 +91,10 @@
 	offeredValue        float64
 	earnedValue         float64
 	modelCost           float64
+	// windows holds the work of each engine by window.
+	windows [][]float64
+	// engineWorkMS is the mean work of an engine, whatever its pace.
+	engineWorkMS float64
 }
 
 // outcome is the result of one request.
@@ -173,7 +185,36 @@
 	return value
 }
 
+func (c *collector) recordWindow(work []float64) {
+	c.windows = append(c.windows, work)
+}
+
+// busiestToMean returns the ratio of the largest to the mean work over all windows, and the mean
+// of that ratio by window.
+func (c *collector) busiestToMean() (overall, byWindow float64) {
+	if len(c.windows) == 0 {
+		return 0, 0
+	}
+	total := make([]float64, len(c.windows[0]))
+	for _, work := range c.windows {
+		for n := range work {
+			total[n] += work[n]
+		}
+		byWindow += largestToMean(work) / float64(len(c.windows))
+	}
+	return largestToMean(total), byWindow
+}
+
+func largestToMean(work []float64) float64 {
+	sum := 0.0
+	for _, w := range work {
+		sum += w
+	}
+	return slices.Max(work) * float64(len(work)) / max(sum, 1e-9)
+}
+
 func (c *collector) summary(load Load, policy string, seed uint64) Results {
+	overall, byWindow := c.busiestToMean()
 	return Results{
 		Load:           load.Name,
 		Policy:         policy,
@@ -190,10 +231,14 @@
 		BesideCrashes:  c.besideCrashes(load.CrashingPart),
 		FirstEventMS:   Quantiles(latencies.QuantilesOf(c.firstEvent)),
 		GapMS:          Quantiles(latencies.QuantilesOf(c.gaps)),
+		BusiestToMean:  overall,
 		Classes:        c.sharesBy(func(o outcome) string { return o.class }),
-		Teams:          c.sharesBy(func(o outcome) string { return o.team }),
-		Sizes:          c.sharesBy(c.sizeGroups()),
-		DataCenters:    c.sharesBy(func(o outcome) string { return o.dataCenter }),
+
+		BusiestToMeanWindow: byWindow,
+		EngineWorkMS:        c.engineWorkMS,
+		Teams:               c.sharesBy(func(o outcome) string { return o.team }),
+		Sizes:               c.sharesBy(c.sizeGroups()),
+		DataCenters:         c.sharesBy(func(o outcome) string { return o.dataCenter }),
 	}
 }
 
--- a/internal/evaluation/loadsim/simulation.go
+++ b/internal/evaluation/loadsim/simulation.go
@@ -33,6 +33,10 @@
 	// repeated is the first of the copies of one request, nil before it.
 	repeated  *request
 	collector *collector
+	// paceRandom draws the moments, apart from random so that these change no other draw.
+	paceRandom *rand.Rand
+	// exchangeInterval is the time between two exchanges of the fleet's totals.
+	exchangeInterval time.Duration
 }
 
 // engine is an emulated engine with its active faults.
@@ -42,12 +46,16 @@
 	index       int
 	down        bool
 	failureRate float64
+	// lastingPace and momentFactor are the factors of the engine's pace.
+	lastingPace, momentFactor float64
+	// windowStart is the engine's work at the start of the present window.
+	windowStart float64
 }
 
 const (
 	service tables.ServiceID = "models"
-	// exchangeInterval is the time between two exchanges of the fleet's totals.
-	exchangeInterval = 500 * time.Millisecond
+	// defaultExchangeInterval is the time between two exchanges of the fleet's totals.
+	defaultExchangeInterval = 500 * time.Millisecond
 	// networkDelay is the one-way delay between an instance and an engine.
 	networkDelay = 2 * time.Millisecond
 	// maxAttempts is the maximum number of calls that a route allows for a
@@ -75,6 +83,12 @@
 		engineByAddress: map[string]*engine{},
 		contributions:   make([]aggregates.Values, load.Instances),
 		collector:       newCollector(),
+		paceRandom:      rand.New(rand.NewPCG(seed, 2)),
+
+		exchangeInterval: defaultExchangeInterval,
+	}
+	if load.ExchangeMS > 0 {
+		s.exchangeInterval = seconds(load.ExchangeMS / 1000)
 	}
 	s.setUp()
 	s.scheduleEvents()
@@ -123,7 +137,7 @@
 }
 
 func (s *simulation) catalog() *catalog.Catalog {
-	engine := &catalog.Engine{Slots: s.load.EngineConfig.Slots}
+	engine := &catalog.Engine{Slots: s.load.EngineConfig.Slots, KVCapacity: tables.Tokens(s.load.EngineConfig.MemoryTokens)}
 	var models []tables.ModelID
 	for _, m := range s.load.Models {
 		models = append(models, m.Name)
@@ -165,7 +179,8 @@
 			s.scheduler.Schedule(start+seconds(fault.DurationSeconds), func() { e.clearFaults() })
 		}
 	}
-	s.scheduler.Schedule(exchangeInterval, s.exchangeTotals)
+	s.schedulePaces()
+	s.scheduler.Schedule(s.exchangeInterval, s.exchangeTotals)
 }
 
 // injectFault applies a fault to an engine. The worst of overlapping faults
@@ -237,7 +252,7 @@
 		s.contributions[n] = d.Contribution(s.clock())
 	}
 	if s.scheduler.Now() < seconds(s.load.DurationSeconds)+drainTime {
-		s.scheduler.Schedule(exchangeInterval, s.exchangeTotals)
+		s.scheduler.Schedule(s.exchangeInterval, s.exchangeTotals)
 	}
 }
 
