Trust few statements of an upstream's usual pace

An upstream that states its lasting pace with that of the moment counted twice until it had some ten answers: what it usually states began at 1 with the weight of four answers, like the observed ratios. Statements vary less than waits, so half an answer is enough.

--- a/internal/core/placement/pace.go
+++ b/internal/core/placement/pace.go
@@ -49,6 +49,9 @@
 	paceMomentTime = 400 * time.Millisecond
 	// pacePriorAnswers is the number of answers that the usual pace counts as.
 	pacePriorAnswers = 4
+	// statementPriorAnswers is the same for the pace that an upstream usually states. Statements
+	// vary less than waits.
+	statementPriorAnswers = 0.5
 	// maxPaceRatio bounds a single ratio, and minPace and maxPace the pace, so that an answer
 	// behind a hidden queue does not count as much as many others.
 	maxPaceRatio     = 4
@@ -116,7 +119,7 @@
 // usualStatement returns the mean of the stated paces. It differs from 1 if the statements
 // contain the lasting differences between machines.
 func (u *Upstream) usualStatement() float64 {
-	return (pacePriorAnswers + u.pace.own.Stated + u.pace.fleet.Stated) / (pacePriorAnswers + u.pace.own.Answers + u.pace.fleet.Answers)
+	return (statementPriorAnswers + u.pace.own.Stated + u.pace.fleet.Stated) / (statementPriorAnswers + u.pace.own.Answers + u.pace.fleet.Answers)
 }
 
 // ObservePace records the ratio of an answer's observed time to the one that is expected at the
