Even the work of upstreams that state their pace

A wait that is as short as others hides it until an engine is overrun, and what an instance knows of waits is some hundred milliseconds old.

The fleet's sums now have the recent work that was sent to each upstream that states its pace, with a half-life of 9 s. One whose work, times its lasting pace, is above the mean of the service passes a part of its calls on to the next upstream in the order of the scores whose wait is close to the shortest. So the calls of one key go to few upstreams, which have its shared parts in their caches.

--- a/internal/core/dispatch/evidence.go
+++ b/internal/core/dispatch/evidence.go
@@ -38,6 +38,8 @@
 	valueWork  = "work"
 	valueRuns  = "runs"
 	valueFails = "fails"
+	// valueFlow is the recent work that was sent to an upstream that states its pace.
+	valueFlow = "flow"
 	// valueRejections is the number of rejections in a second that the upstream says it
 	// tolerates, valueStatements the number of instances to which it has said so lately.
 	valueRejections = "rejections"
@@ -91,6 +93,7 @@
 			set(upstreamKey(valueRuns, u), math.Round(u.Calls))
 			set(upstreamKey(valueFails, u), math.Round(u.Failures))
 			contributePace(now, u, set)
+			set(upstreamKey(valueFlow, u), u.OwnFlow(now))
 			if limit := u.StatedRejections(now); limit > 0 {
 				set(anyStatementKey, 1)
 				set(statementKey(valueRejections, u), float64(limit))
@@ -137,6 +140,7 @@
 			}
 		}
 		s.applyPaces(totals, reported)
+		s.applyFlows(now, totals, reported)
 		verdicts = append(verdicts, d.judgeRollout(s, totals, reported)...)
 	}
 	return verdicts
--- a/internal/core/dispatch/paces.go
+++ b/internal/core/dispatch/paces.go
@@ -68,6 +68,24 @@
 	}
 }
 
+// applyFlows updates the recent work at the service's upstreams that state their pace from the
+// fleet's sums.
+func (s *service) applyFlows(now time.Time, totals, reported aggregates.Values) {
+	sum, count := 0.0, 0
+	for _, u := range s.upstreams {
+		if u.StatesPace() && u.Usable() {
+			u.SetOthersFlow(totals.Others(reported, upstreamKey(valueFlow, u)))
+			sum += u.Usage(now)
+			count++
+		}
+	}
+	for _, u := range s.upstreams {
+		if u.StatesPace() && u.Usable() {
+			u.CompareUsage(now, sum/float64(count))
+		}
+	}
+}
+
 // observeStart fits the estimator of the call's model to the wait for the start of its answer.
 // The wait is divided by the upstream's pace, since the estimator is that of all upstreams.
 func (d *Dispatcher) observeStart(now time.Time, task *Task, call *Call) {
--- a/internal/core/dispatch/task.go
+++ b/internal/core/dispatch/task.go
@@ -265,6 +265,9 @@
 		call.CacheSource = source.Address
 	}
 	u.AddWork(call.work)
+	if u.StatesPace() && criteria.Prompt != nil {
+		u.RecordFlow(now, call.work)
+	}
 	d.rememberSession(now, task)
 	return call, nil
 }
--- /dev/null
+++ b/internal/core/placement/flow.go
@@ -0,0 +1,96 @@
+package placement
+
+import (
+	"math"
+	"time"
+
+	"mimosayard/internal/core/forecast"
+)
+
+// flowState is the recent work that was sent to an upstream that states its pace. The zero value
+// is none.
+type flowState struct {
+	// own is this instance's work as of the time at, others that of the rest of the fleet.
+	own, others float64
+	at          time.Time
+	// keep is the probability with which a call that would go to the upstream stays there.
+	keep float64
+}
+
+const (
+	// flowHalfLife is the half-life of sent work. It is long against the age of the sums, so
+	// that instances which correct an excess at the same time do not overshoot, and some
+	// twenty long prompts at each upstream count.
+	flowHalfLife = 9 * time.Second
+	// keepPower is the power of the relative excess over the mean by which keep falls. Twice
+	// the mean demand leaves 2^(1/13) = 1.05 times the mean.
+	keepPower = 12
+	// idleUsage is the part of the time in use that is added to all upstreams before they are
+	// compared, so that single calls do not count as an excess on a fleet that is nearly idle.
+	idleUsage = 0.005
+	// maxSpreads bounds the upstreams that a choice passes over.
+	maxSpreads = 4
+)
+
+// RecordFlow records work that is sent to the upstream.
+func (u *Upstream) RecordFlow(now time.Time, work float64) {
+	u.flow.own, u.flow.at = u.OwnFlow(now)+work, now
+}
+
+// OwnFlow returns this instance's recent work at the upstream.
+func (u *Upstream) OwnFlow(now time.Time) float64 {
+	if u.flow.own == 0 {
+		return 0
+	}
+	return u.flow.own * math.Exp2(-float64(now.Sub(u.flow.at))/float64(flowHalfLife))
+}
+
+// SetOthersFlow sets the recent work of the rest of the fleet.
+func (u *Upstream) SetOthersFlow(work float64) {
+	u.flow.others = work
+}
+
+// Usage returns the recent work of the fleet at the upstream, as time of its machine.
+func (u *Upstream) Usage(now time.Time) float64 {
+	return (u.OwnFlow(now) + u.flow.others) * u.LastingPace()
+}
+
+// CompareUsage compares the upstream's usage with the mean one of the service's upstreams.
+func (u *Upstream) CompareUsage(now time.Time, mean float64) {
+	idle := idleUsage * float64(flowHalfLife/time.Millisecond) / math.Ln2
+	excess := (u.Usage(now) + idle) / (mean + idle)
+	u.overused, u.flow.keep = excess > 1, math.Pow(excess, -keepPower)
+}
+
+// spread returns the index of the first candidate that keeps the call, in the order of the scores
+// from the given one on, among those whose expected wait is within the bound. So the calls that
+// an overused upstream passes on go to few others, which then have their shared parts too. If
+// none of the first ones keeps the call, it returns the least used of them.
+func (c *Chooser) spread(best int, bound forecast.Milliseconds) int {
+	least := best
+	for range maxSpreads {
+		u := c.candidates[best]
+		if !u.overused || c.Random.Float64() < u.flow.keep {
+			return best
+		}
+		if u.flow.keep > c.candidates[least].flow.keep {
+			least = best
+		}
+		if best = c.highestUpTo(c.scores[best]-1, bound); best < 0 {
+			break
+		}
+	}
+	return least
+}
+
+// highestUpTo returns the index of the candidate with the highest score up to the given one, among
+// those whose expected wait is within the bound, -1 if there is none.
+func (c *Chooser) highestUpTo(score uint64, bound forecast.Milliseconds) int {
+	best := -1
+	for i, expected := range c.waits {
+		if expected <= bound && c.scores[i] <= score && (best < 0 || c.scores[i] > c.scores[best]) {
+			best = i
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/internal/core/placement/flow_test.go
@@ -0,0 +1,36 @@
+package placement
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// TestOverusedUpstreamPassesCallsOn guards against two faults: a cache holder that keeps all calls
+// with its keys although it has had twice the mean work, and calls of one key that are spread
+// over all upstreams, each of which would read the shared parts.
+func TestOverusedUpstreamPassesCallsOn(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1_700_000_000, 0)
+	upstreams := newUpstreams(12)
+	c := Chooser{Random: rand.New(rand.NewPCG(1, 1))}
+	criteria := Criteria{AffinityKey: 77, Prompt: &PromptWait{MoveCost: 100}}
+	_, holder, _ := c.Choose(now, upstreams, criteria)
+	for _, u := range upstreams {
+		u.RecordLoad(now, ReportedLoad{Slots: 4, Pace: 1})
+		u.SetOthersFlow(2000)
+	}
+	holder.SetOthersFlow(2120)
+	for _, u := range upstreams {
+		u.CompareUsage(now, 2000)
+	}
+	chosen := map[*Upstream]int{}
+	for range 1000 {
+		u, _, _ := c.Choose(now, upstreams, criteria)
+		chosen[u]++
+	}
+	is.Equal(len(chosen), 2)
+	is.True(chosen[holder] > 400 && chosen[holder] < 700)
+}
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -48,6 +48,8 @@
 	limited bool
 	// paced is true once the upstream has stated its pace.
 	paced bool
+	// overused is true if its recent work is above the mean of the service's upstreams.
+	overused bool
 
 	catalog.Upstream
 	// Calls and Failures count this instance's recent calls and those of them
@@ -83,6 +85,7 @@
 	admission  admission
 	reported   loadReport
 	pace       paceState
+	flow       flowState
 	// misdirections are those of the models whose calls the upstream has rejected as
 	// misdirected, at most maxMisdirections. It is nil until there is one.
 	misdirections map[tables.ModelID]misdirection
@@ -408,7 +411,8 @@
 // has the highest score among those whose expected wait is close enough to the
 // shortest one, so that requests with the same key also stay together at
 // upstreams other than the cache holder. Where these send a key is where the
-// cache holder looks for parts that it lacks.
+// cache holder looks for parts that it lacks. An upstream whose recent work is above
+// the mean passes a part of its calls on.
 func (c *Chooser) chooseByWait(now time.Time, key uint64, dataCenter tables.DataCenterID, wait *PromptWait) (chosen, cacheHolder, source *Upstream) {
 	c.scores, c.waits = c.scores[:0], c.waits[:0]
 	local := xxhash.Sum64String(string(dataCenter))
@@ -445,7 +449,10 @@
 	}
 	best := holder
 	if c.waits[holder] > shortest+wait.MoveCost {
-		best = c.highestWithin(shortest + wait.MoveCost)
+		best = c.highestUpTo(math.MaxUint64, shortest+wait.MoveCost)
+	}
+	if c.candidates[best].overused {
+		best = c.spread(best, shortest+wait.MoveCost)
 	}
 	chosen = c.candidates[best]
 	switch {
@@ -458,18 +465,6 @@
 	return chosen, cacheHolder, source
 }
 
-// highestWithin returns the index of the candidate with the highest score among those whose
-// expected wait is within the bound, -1 if there is none.
-func (c *Chooser) highestWithin(bound forecast.Milliseconds) int {
-	best := -1
-	for i, expected := range c.waits {
-		if expected <= bound && (best < 0 || c.scores[i] > c.scores[best]) {
-			best = i
-		}
-	}
-	return best
-}
-
 // chooseByLoad returns the candidate with the least work per slot.
 func chooseByLoad(candidates []*Upstream, dataCenter tables.DataCenterID, random *rand.Rand) *Upstream {
 	var best *Upstream
--- a/internal/evaluation/loadsim/loadsim_test.go
+++ b/internal/evaluation/loadsim/loadsim_test.go
@@ -63,6 +63,12 @@
 	checkExpectations(t, "crashing/*.json")
 }
 
+// TestLoadIsEven guards against engines that are overrun in turns while others idle: all
+// instances choose by what they knew some hundred milliseconds ago, and engines differ in pace.
+func TestLoadIsEven(t *testing.T) {
+	checkExpectations(t, "even/*.json")
+}
+
 // checkExpectations runs the load files that match the pattern.
 func checkExpectations(t *testing.T, pattern string) {
 	t.Helper()
