Bound the tokens that an upstream is sent by its memory

An engine ends if the requests that it holds exceed its memory, and nothing counted them. The tokens of the prompts and expected answers of all calls in flight to an upstream that states its pace are now summed over the fleet, and one that would hold more than 85% of the kv_capacity of its service's engine gets no call while another has room. The rest is for calls that others send before the sums tell of them. If none has room, one is chosen as before. Prompts count in full, though calls share cached parts. Expected answers have the usual number of events.

--- a/internal/core/dispatch/dispatch.go
+++ b/internal/core/dispatch/dispatch.go
@@ -87,7 +87,10 @@
 	// usualGaps are the mean gaps between events by model, at the usual pace. They come from
 	// upstreams that state their pace.
 	usualGaps map[tables.ModelID]float64
-	waiting   waitingList
+	// usualEvents is the usual number of events in an answer of such an upstream,
+	// tokensPerEvent that of the tokens in an event.
+	usualEvents, tokensPerEvent float64
+	waiting                     waitingList
 	// urgencies is the mix of urgencies in the prompts of recent calls.
 	urgencies urgencyMix
 }
--- a/internal/core/dispatch/evidence.go
+++ b/internal/core/dispatch/evidence.go
@@ -40,6 +40,8 @@
 	valueFails = "fails"
 	// valueFlow is the recent work that was sent to an upstream that states its pace.
 	valueFlow = "flow"
+	// valueTokens are the tokens of the calls in flight to such an upstream.
+	valueTokens = "tokens"
 	// valueRejections is the number of rejections in a second that the upstream says it
 	// tolerates, valueStatements the number of instances to which it has said so lately.
 	valueRejections = "rejections"
@@ -93,7 +95,6 @@
 			set(upstreamKey(valueRuns, u), math.Round(u.Calls))
 			set(upstreamKey(valueFails, u), math.Round(u.Failures))
 			contributePace(now, u, set)
-			set(upstreamKey(valueFlow, u), u.OwnFlow(now))
 			if limit := u.StatedRejections(now); limit > 0 {
 				set(anyStatementKey, 1)
 				set(statementKey(valueRejections, u), float64(limit))
@@ -141,6 +142,7 @@
 		}
 		s.applyPaces(totals, reported)
 		s.applyFlows(now, totals, reported)
+		d.applyMemory(s, totals, reported)
 		verdicts = append(verdicts, d.judgeRollout(s, totals, reported)...)
 	}
 	return verdicts
--- a/internal/core/dispatch/paces.go
+++ b/internal/core/dispatch/paces.go
@@ -7,6 +7,7 @@
 	"mimosayard/internal/core/aggregates"
 	"mimosayard/internal/core/forecast"
 	"mimosayard/internal/core/placement"
+	"mimosayard/internal/core/tables"
 )
 
 // anyPaceKey is the key of the number of instances to which any upstream has stated its pace.
@@ -24,9 +25,14 @@
 	return aggregates.NewKey("pace", lifeName(u))
 }
 
-// contributePace adds this instance's part of the sums for an upstream's pace. Small changes
-// are not sent: an error of two percent in a sum is one in the pace.
+// contributePace adds this instance's part of the sums for an upstream that states its pace.
+// Small changes are not sent: an error of two percent in a sum is one in the pace.
 func contributePace(now time.Time, u *placement.Upstream, set func(key aggregates.Key, value float64)) {
+	if !u.StatesPace() {
+		return
+	}
+	set(upstreamKey(valueFlow, u), u.OwnFlow(now))
+	set(upstreamKey(valueTokens, u), float64(u.OwnTokens()))
 	own := u.OwnPaceSums(now)
 	if own.Answers <= 0 {
 		return
@@ -116,3 +122,26 @@
 	}
 	s.usualGaps[model] = usual
 }
+
+// applyMemory updates the tokens that the service's upstreams hold. Only those that state their
+// pace are bounded by them.
+func (d *Dispatcher) applyMemory(s *service, totals, reported aggregates.Values) {
+	var capacity tables.Tokens
+	if d.hasModels(s) {
+		engine := d.index.Service(s.name).Engine
+		capacity, s.tokensPerEvent = engine.KVCapacity, float64(max(1, engine.TokensPerEvent))
+	}
+	for _, u := range s.upstreams {
+		if u.StatesPace() {
+			u.SetMemory(capacity, tables.Tokens(totals.Others(reported, upstreamKey(valueTokens, u))))
+		}
+	}
+}
+
+// observeEvents records the number of events of an answer for the tokens that are expected of
+// later ones.
+func (s *service) observeEvents(call *Call) {
+	if call.upstream.StatesPace() {
+		s.usualEvents = gapMemory*s.usualEvents + (1-gapMemory)*float64(call.events)
+	}
+}
--- a/internal/core/dispatch/task.go
+++ b/internal/core/dispatch/task.go
@@ -109,7 +109,10 @@
 	// backlog is the upstream's work that is done before the call's.
 	backlog forecast.Milliseconds
 	// work is the call's part of the upstream's work in flight.
-	work    float64
+	work float64
+	// tokens are those of the prompt and the expected answer, zero if the upstream does not
+	// state its pace.
+	tokens  tables.Tokens
 	sentAt  time.Time
 	started bool
 	// reservation is the call's possible rejection, nil if the upstream tolerates any.
@@ -214,6 +217,7 @@
 	if task.readsPrompt() {
 		wait = d.promptWait(task, task.runModel())
 		criteria.AffinityKey, criteria.Prompt = task.affinityKey(task.runModel()), &wait
+		criteria.Tokens = task.Request.PromptTokens + tables.Tokens(task.service.usualEvents*task.service.tokensPerEvent)
 	}
 	u, cacheHolder, source := d.chooser.Choose(now, candidates, criteria)
 	if u == nil {
@@ -267,6 +271,8 @@
 	u.AddWork(call.work)
 	if u.StatesPace() && criteria.Prompt != nil {
 		u.RecordFlow(now, call.work)
+		call.tokens = criteria.Tokens
+		u.AddTokens(call.tokens)
 	}
 	d.rememberSession(now, task)
 	return call, nil
@@ -420,6 +426,7 @@
 	defer d.mutex.Unlock()
 	u := call.upstream
 	u.RemoveWork(call.work)
+	u.AddTokens(-call.tokens)
 	if result == NoRoom {
 		task.calls--
 		task.noRoom++
@@ -468,6 +475,7 @@
 	if result == Served && call.started {
 		task.service.observeLatency(task, call)
 		task.service.observeGap(now, task, call)
+		task.service.observeEvents(call)
 	}
 	d.recordForQuarantine(now, task, call, result)
 }
--- /dev/null
+++ b/internal/core/placement/memory_test.go
@@ -0,0 +1,36 @@
+package placement
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"mimosayard/internal/core/tables"
+)
+
+// TestFullMemoryIsAvoided guards against an engine that ends since it holds more tokens than fit
+// into its memory, while others have room. If none has, one is chosen all the same.
+func TestFullMemoryIsAvoided(t *testing.T) {
+	is := is.New(t)
+	upstreams, c := newUpstreams(3), newChooser()
+	for _, u := range upstreams {
+		u.RecordLoad(now, ReportedLoad{Slots: 4, Pace: 1})
+		u.SetMemory(100_000, 60_000)
+	}
+	criteria := Criteria{AffinityKey: 7, Tokens: 10_000, Prompt: &PromptWait{MoveCost: 1000}}
+	first, _, _ := c.Choose(now, upstreams, criteria)
+	first.AddTokens(20_000)
+	second, _, _ := c.Choose(now, upstreams, criteria)
+	is.True(second != first)
+	criteria.Tried = []tables.UpstreamID{second.ID}
+	third, _, _ := c.Choose(now, upstreams, criteria)
+	is.True(third != first && third != second)
+	third.AddTokens(20_000)
+	criteria.Tried = nil
+	second.AddTokens(20_000)
+	last, _, _ := c.Choose(now, upstreams, criteria)
+	is.True(last != nil)
+	first.AddTokens(-20_000)
+	again, _, _ := c.Choose(now, upstreams, criteria)
+	is.Equal(again, first)
+}
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -86,6 +86,7 @@
 	reported   loadReport
 	pace       paceState
 	flow       flowState
+	memory     memoryState
 	// misdirections are those of the models whose calls the upstream has rejected as
 	// misdirected, at most maxMisdirections. It is nil until there is one.
 	misdirections map[tables.ModelID]misdirection
@@ -99,6 +100,8 @@
 	// Prompt is the expected wait for the start of the answer, nil for a
 	// request without a prompt.
 	Prompt *PromptWait
+	// Tokens are those of the prompt and the expected answer.
+	Tokens tables.Tokens
 	// Model is the model that the request runs on, empty if it names none.
 	Model tables.ModelID
 	// DataCenter is the data centre whose upstreams are preferred.
@@ -392,6 +395,9 @@
 		return false
 	}
 	tried := len(criteria.Tried) > 0 && slices.Contains(criteria.Tried, u.ID)
+	if t != usable && u.paced && !u.holds(criteria.Tokens) {
+		return false
+	}
 	misdirects := len(u.misdirections) > 0 && u.Misdirects(now, criteria.Model)
 	switch t {
 	case preferred:
