Move no keys for the difference of a few calls

An instance that is cut off from the sums knows of about one call at each upstream in 9 s. One call was then an excess that sent the next ones with its key to up to four other upstreams, which all had to read the shared parts. The power by which calls are passed on now falls in proportion below 20 calls at the mean upstream, and two calls of the usual work are added before upstreams are compared.

--- a/internal/core/dispatch/dispatch.go
+++ b/internal/core/dispatch/dispatch.go
@@ -87,6 +87,8 @@
 	// usualGaps are the mean gaps between events by model, at the usual pace. They come from
 	// upstreams that state their pace.
 	usualGaps map[tables.ModelID]float64
+	// usualWork is the usual work of a call to such an upstream.
+	usualWork float64
 	// usualEvents is the usual number of events in an answer of such an upstream,
 	// tokensPerEvent that of the tokens in an event.
 	usualEvents, tokensPerEvent float64
--- a/internal/core/dispatch/paces.go
+++ b/internal/core/dispatch/paces.go
@@ -74,6 +74,15 @@
 	}
 }
 
+// recordFlow records a call that is sent to an upstream that states its pace.
+func (s *service) recordFlow(now time.Time, call *Call, tokens tables.Tokens) {
+	u := call.upstream
+	u.RecordFlow(now, call.work)
+	s.usualWork = gapMemory*s.usualWork + (1-gapMemory)*call.work
+	call.tokens = tokens
+	u.AddTokens(tokens)
+}
+
 // applyFlows updates the recent work at the service's upstreams that state their pace from the
 // fleet's sums.
 func (s *service) applyFlows(now time.Time, totals, reported aggregates.Values) {
@@ -87,7 +96,7 @@
 	}
 	for _, u := range s.upstreams {
 		if u.StatesPace() && u.Usable() {
-			u.CompareUsage(now, sum/float64(count))
+			u.CompareUsage(now, sum/float64(count), s.usualWork)
 		}
 	}
 }
--- a/internal/core/dispatch/task.go
+++ b/internal/core/dispatch/task.go
@@ -270,9 +270,7 @@
 	}
 	u.AddWork(call.work)
 	if u.StatesPace() && criteria.Prompt != nil {
-		u.RecordFlow(now, call.work)
-		call.tokens = criteria.Tokens
-		u.AddTokens(call.tokens)
+		task.service.recordFlow(now, call, criteria.Tokens)
 	}
 	d.rememberSession(now, task)
 	return call, nil
--- a/internal/core/placement/flow.go
+++ b/internal/core/placement/flow.go
@@ -28,6 +28,10 @@
 	// idleUsage is the part of the time in use that is added to all upstreams before they are
 	// compared, so that single calls do not count as an excess on a fleet that is nearly idle.
 	idleUsage = 0.005
+	// idleCalls is the same in calls of the usual work, and enoughCalls the mean number of
+	// calls at an upstream from which keep falls by the whole power. An instance that is cut
+	// off knows of few calls, and must not move keys for the difference of one.
+	idleCalls, enoughCalls = 2, 20
 	// maxSpreads bounds the upstreams that a choice passes over.
 	maxSpreads = 4
 )
@@ -55,11 +59,16 @@
 	return (u.OwnFlow(now) + u.flow.others) * u.LastingPace()
 }
 
-// CompareUsage compares the upstream's usage with the mean one of the service's upstreams.
-func (u *Upstream) CompareUsage(now time.Time, mean float64) {
-	idle := idleUsage * float64(flowHalfLife/time.Millisecond) / math.Ln2
+// CompareUsage compares the upstream's usage with the mean one of the service's upstreams. Usual
+// is the usual work of a call, zero if it is not known.
+func (u *Upstream) CompareUsage(now time.Time, mean, usual float64) {
+	idle := max(idleUsage*float64(flowHalfLife/time.Millisecond)/math.Ln2, idleCalls*usual)
+	power := float64(keepPower)
+	if calls := mean / max(usual, 1); calls < enoughCalls {
+		power *= calls / enoughCalls
+	}
 	excess := (u.Usage(now) + idle) / (mean + idle)
-	u.overused, u.flow.keep = excess > 1, math.Pow(excess, -keepPower)
+	u.overused, u.flow.keep = excess > 1, math.Pow(excess, -power)
 }
 
 // spread returns the index of the first candidate that keeps the call, in the order of the scores
--- a/internal/core/placement/flow_test.go
+++ b/internal/core/placement/flow_test.go
@@ -24,7 +24,7 @@
 	}
 	holder.SetOthersFlow(2120)
 	for _, u := range upstreams {
-		u.CompareUsage(now, 2000)
+		u.CompareUsage(now, 2000, 50)
 	}
 	chosen := map[*Upstream]int{}
 	for range 1000 {
@@ -34,3 +34,14 @@
 	is.Equal(len(chosen), 2)
 	is.True(chosen[holder] > 400 && chosen[holder] < 700)
 }
+
+// TestFewCallsMoveNoKeys guards an instance that is cut off from the sums: a single call is twice
+// the mean work there, and must not send the next one with its key elsewhere.
+func TestFewCallsMoveNoKeys(t *testing.T) {
+	is := is.New(t)
+	u := newUpstreams(1)[0]
+	u.RecordLoad(now, ReportedLoad{Slots: 4, Pace: 1})
+	u.RecordFlow(now, 100)
+	u.CompareUsage(now, 30, 60)
+	is.True(u.flow.keep > 0.8)
+}
