Test that three figures change no decision

Earlier deployments state their load without a pace. Two instances with the same requests and random numbers, one of which gets such statements, must choose the same upstreams, expect the same starts, wait as long and contribute the same sums.

--- a/internal/core/dispatch/paces_test.go
+++ b/internal/core/dispatch/paces_test.go
@@ -63,3 +63,37 @@
 		is.True(math.Abs(got[2]/got[1]-1.6) < 0.15)
 	}
 }
+
+// TestThreeFiguresChangeNoDecision guards earlier deployments: upstreams that state their load
+// without a pace must be chosen and waited for as those that state nothing.
+func TestThreeFiguresChangeNoDecision(t *testing.T) {
+	is := is.New(t)
+	silent, stating := newDispatcher(newUpstreams("v1", 9)...), newDispatcher(newUpstreams("v1", 9)...)
+	clock := now
+	for i := range 400 {
+		var calls []*Call
+		for _, d := range []*Dispatcher{silent, stating} {
+			task, _ := d.Admit(clock, Request{
+				ID: "a", Route: newRoute(catalog.Streaming), PromptTokens: 6000, SharedTokens: 4000, SharedPartsHash: uint64(i % 20),
+				ArrivedAt: clock, Deadline: clock.Add(time.Minute),
+			})
+			call, _ := d.NextCall(clock, task)
+			started := clock.Add(time.Duration(50+i%7*40) * time.Millisecond)
+			if d == stating {
+				d.RecordUpstreamState(started, call, UpstreamState{Load: &placement.ReportedLoad{Running: i % 5, Slots: 8}})
+			}
+			is.True(d.StartAnswer(started, task, call, -1))
+			if i%3 > 0 {
+				d.EndCall(started, task, call, Served)
+			}
+			own := d.Contribution(started)
+			d.ApplyTotals(started, own, own)
+			calls = append(calls, call)
+		}
+		is.Equal(calls[0].Upstream.ID, calls[1].Upstream.ID)
+		is.Equal(calls[0].ExpectedStart, calls[1].ExpectedStart)
+		is.Equal(calls[0].StartTimeout, calls[1].StartTimeout)
+		clock = clock.Add(30 * time.Millisecond)
+	}
+	is.Equal(silent.Contribution(clock), stating.Contribution(clock))
+}
