Limit the calls to upstreams that are cold

After a quarter of the engines had crashed for 2 s, upstreams that came back got 16 requests more than they tolerate, since nothing reads what they and their entries say of being cold, and an upstream that has come back looks idle to all that did not see the crash.

An upstream is presumed cold by a new incarnation or a remaining time in its entry, by the header of an answer, by a lost call or connection of this instance, and by exact sums of what the others have seen. After a loss it is cold for the service's time from the first connection that any instance makes. HasRoom bounds this instance's calls meanwhile, RoomAt tells when the next may go, and requests that find no room wait or are refused as for named limits. Nothing changes without cold_overshoot or without a rate of the service. The new state stands last in the upstream, and the common case of HasRoom is inlined, since choices read it for each upstream.

--- a/internal/core/dispatch/dispatch.go
+++ b/internal/core/dispatch/dispatch.go
@@ -26,6 +26,8 @@
 	Release releases.Limits
 	// SessionTTL is how long after the end of its last request a session lasts.
 	SessionTTL time.Duration
+	// Cold bounds the calls to cold upstreams, zero for no bound.
+	Cold pacing.ColdBound
 }
 
 // A Dispatcher is the decision state of one instance. It is safe for
@@ -44,6 +46,16 @@
 	instances int
 	fleet     pacing.Fleet
 	owners    pacing.Owners
+	// self and members are the instances as of the last SetMembers, callers those of them that
+	// call cold upstreams.
+	self    tables.InstanceID
+	members []tables.InstanceID
+	callers pacing.Callers
+	// warmUpChanges are the changes that WarmUpChanges has not returned yet.
+	warmUpChanges map[tables.UpstreamID]WarmUpChange
+	// hasUpstreams is true once upstreams were listed. Those that are listed later have started
+	// during traffic.
+	hasUpstreams bool
 	// limitChanges are the changes that LimitChanges has not returned yet.
 	limitChanges pacing.Changes
 	// tolerances are what upstreams tolerate, toleranceChanges the changes that
@@ -264,7 +276,9 @@
 			born = append(born, u)
 		}
 		delete(known, entry.ID)
+		previous, isNew := u.ColdFor, u.ID == ""
 		u.SetEntry(now, entry)
+		d.recordEntry(now, u, previous, isNew)
 		s := d.service(entry.Service)
 		s.upstreams = append(s.upstreams, u)
 	}
@@ -281,6 +295,8 @@
 			s.upstreams = append(s.upstreams, u)
 		}
 	}
+	d.hasUpstreams = d.hasUpstreams || len(entries) > 0
+	d.updateAllWarmUps(now)
 }
 
 // UsableUpstreamCount returns the number of upstreams that may get new work.
--- a/internal/core/dispatch/evidence.go
+++ b/internal/core/dispatch/evidence.go
@@ -103,6 +103,7 @@
 			if statement := u.Limit.Statement(now); !statement.IsEmpty() {
 				statement.Contribute(lifeName(u), set)
 			}
+			d.contributeWarmUp(now, u, set)
 		}
 		for key, evidence := range s.evidence {
 			for _, field := range evidenceFields {
@@ -126,6 +127,7 @@
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	d.totals = totals
+	d.callers.Set(now, d.self, d.members)
 	d.quarantineChanges = append(d.quarantineChanges, d.quarantine.ApplyTotals(now, totals, reported)...)
 	var verdicts []Verdict
 	for _, s := range d.services {
@@ -139,6 +141,7 @@
 			if _, named := u.Limit.Named(); named || totals[pacing.AnyKey] > 0 {
 				d.updateLimit(now, s, u, u.Limit.ApplyTotals(now, lifeName(u), totals, reported))
 			}
+			d.applyWarmUp(now, s, u, totals, reported)
 		}
 		s.applyPaces(totals, reported)
 		s.applyFlows(now, totals, reported)
--- a/internal/core/dispatch/room.go
+++ b/internal/core/dispatch/room.go
@@ -137,6 +137,7 @@
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	d.owners.Set(self, members)
+	d.self, d.members = self, members
 }
 
 // RecordOwnerLost records that the instance that admits the calls to the upstream of a call
--- a/internal/core/dispatch/task.go
+++ b/internal/core/dispatch/task.go
@@ -265,7 +265,8 @@
 	}
 	call.reservation = u.Reserve(now)
 	call.StartTimeout = d.startTimeout(task, call, remaining)
-	if source != nil && d.fetchPays(task) {
+	// A cold upstream has nothing in its cache, and a fetch from it would count as a call.
+	if source != nil && !source.IsCold(now) && d.fetchPays(task) {
 		call.CacheSource = source.Address
 	}
 	u.AddWork(call.work)
@@ -308,6 +309,7 @@
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	call.sentAt, call.through = now, through
+	call.upstream.RecordConnected(now)
 	call.reservation.MarkSent(now)
 }
 
@@ -359,6 +361,12 @@
 		}
 		d.limitRejections(now, call.upstream)
 	}
+	if state.StatesCold {
+		if s := d.service(call.Upstream.Service); d.warmUpBounds(s) != nil {
+			call.upstream.StateCold(now, state.ColdFor, call.sentAt)
+			d.updateWarmUp(now, s, call.upstream)
+		}
+	}
 	if state.Load != nil {
 		call.upstream.RecordLoad(now, *state.Load)
 	}
@@ -443,7 +451,10 @@
 		u.ClearMisdirection(task.runModel())
 	case Failed:
 		u.RecordFailure(now, false)
-	case Broken, Mismatched, TimedOut, Unreachable:
+	case Broken, Unreachable:
+		u.RecordFailure(now, true)
+		d.recordLoss(now, call)
+	case Mismatched, TimedOut:
 		u.RecordFailure(now, true)
 	case Refused:
 		u.RecordRefusal(now)
@@ -453,6 +464,7 @@
 	case AddressReused:
 		u.MarkAddressReused()
 	case Misdirected:
+		u.ReturnColdCall()
 		u.RecordMisdirection(now, task.runModel())
 		task.misdirected = true
 	case Abandoned, LinkLost, NoRoom:
--- a/internal/core/dispatch/waiting.go
+++ b/internal/core/dispatch/waiting.go
@@ -185,15 +185,15 @@
 
 // nextRoom returns when the first of the upstreams takes another call, zero if that is not
 // known, and the rate of calls that their limits leave to this instance, zero if not all of
-// them name limits.
+// them name limits or are cold.
 func nextRoom(now time.Time, upstreams []*placement.Upstream) (earliest time.Time, rate pacing.Rate) {
 	allLimited := true
 	for _, u := range upstreams {
 		if !u.Usable() {
 			continue
 		}
-		if _, named := u.Limit.Named(); named {
-			rate += u.Limit.Share()
+		if share, paced := u.PacedShare(now); paced {
+			rate += share
 		} else {
 			allLimited = false
 		}
--- /dev/null
+++ b/internal/core/dispatch/warmup_test.go
@@ -0,0 +1,323 @@
+package dispatch
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"mimosayard/internal/core/aggregates"
+	"mimosayard/internal/core/catalog"
+	"mimosayard/internal/core/pacing"
+	"mimosayard/internal/core/retries"
+	"mimosayard/internal/core/tables"
+	"mimosayard/internal/evaluation/simtime"
+)
+
+// coldLoad is a load of a service whose upstreams are cold after their start: that of the second
+// fleet of docs/design/hard-load.md, with requests in waves and in groups of three.
+type coldLoad struct {
+	instances, upstreams int
+	// play changes the upstreams at coldPlayAt. settling is the time after which the fleet must
+	// keep the bound of those that are cold.
+	play     func(f *coldFleet)
+	settling time.Duration
+	// demand is the number of requests a second for each upstream, zero for coldDemand.
+	demand float64
+	// minServed is the part of the requests that must be served.
+	minServed float64
+}
+
+// coldFleet emulates the load.
+type coldFleet struct {
+	coldLoad
+	simtime.Scheduler
+	random      *rand.Rand
+	dispatchers []*Dispatcher
+	entries     []catalog.Upstream
+	servers     []*coldServer
+	sums        []aggregates.Values
+	cut         map[int]bool
+	route       *catalog.Route
+	requests    int
+	served      int
+	// calls are the times of all calls that reached an upstream, by data centre.
+	calls map[tables.DataCenterID][]time.Duration
+}
+
+// coldServer is an upstream.
+type coldServer struct {
+	downUntil, coldUntil time.Duration
+	life                 int64
+	// arrivals are the calls while it was cold, from the end of the settling time on.
+	countFrom time.Duration
+	arrivals  []time.Duration
+}
+
+const (
+	coldStart  = 3 * time.Second
+	coldRate   = 11
+	coldWork   = 250 * time.Millisecond
+	coldPlayAt = 4 * time.Second
+	coldEnd    = 16 * time.Second
+	sumDelay   = 300 * time.Millisecond
+	entryDelay = 4 * time.Second
+	// coldDemand is more than a cold upstream takes, so that one that looks idle is overrun.
+	coldDemand = 28.0
+)
+
+func newColdFleet(load coldLoad) *coldFleet {
+	f := &coldFleet{coldLoad: load, random: rand.New(rand.NewPCG(7, 8)), cut: map[int]bool{}, calls: map[tables.DataCenterID][]time.Duration{}}
+	f.route = &catalog.Route{
+		Name: "r", Kind: catalog.Safe, MaxAttempts: 3, LatencyTarget: 2 * time.Second, Timeout: 6 * time.Second,
+		Split: []catalog.Share{{Service: "desk", Weight: 1}},
+	}
+	for n := range load.upstreams {
+		id := fmt.Sprintf("u-%d", n)
+		f.entries = append(f.entries, catalog.Upstream{ID: tables.UpstreamID(id), Service: "desk", Address: id, DataCenter: dataCenter(n), Version: "v1", Slots: 64, Ready: true})
+		f.servers = append(f.servers, &coldServer{})
+	}
+	for n := range load.instances {
+		f.dispatchers = append(f.dispatchers, nil)
+		f.start(n)
+	}
+	f.sums = make([]aggregates.Values, load.instances)
+	f.Schedule(coldPlayAt, func() { load.play(f) })
+	f.Schedule(0, f.exchange)
+	f.Schedule(0, f.arrive)
+	return f
+}
+
+func dataCenter(n int) tables.DataCenterID {
+	return tables.DataCenterID(fmt.Sprintf("dc-%d", n%3))
+}
+
+// start starts an instance that knows nothing but the store's objects.
+func (f *coldFleet) start(n int) {
+	limits := Limits{Retries: retries.Budget{Ratio: 0.2, Slack: 40, Window: 10 * time.Second}, Cold: pacing.ColdBound{Overshoot: 1.5, Allowance: 5}}
+	d := New(dataCenter(n), limits, rand.New(rand.NewPCG(uint64(n), 5)))
+	d.SetCatalog(&catalog.Catalog{Version: 1, Services: []catalog.Service{{Name: "desk", ColdStart: coldStart, ColdRate: coldRate}}})
+	d.SetUpstreams(f.clock(), f.entries)
+	f.dispatchers[n] = d
+}
+
+func (f *coldFleet) clock() time.Time { return now.Add(f.Now()) }
+
+// exchange sums what the instances know, and applies it sumDelay later.
+func (f *coldFleet) exchange() {
+	var connected []tables.InstanceID
+	var values []aggregates.Values
+	for n, d := range f.dispatchers {
+		f.sums[n] = d.Contribution(f.clock())
+		if !f.cut[n] {
+			connected = append(connected, instanceID(n))
+			values = append(values, f.sums[n])
+		}
+	}
+	total := aggregates.Sum(values)
+	reported := slices.Clone(f.sums)
+	f.Schedule(sumDelay, func() {
+		for n, d := range f.dispatchers {
+			members, sum := connected, total
+			if f.cut[n] {
+				members, sum = []tables.InstanceID{instanceID(n)}, reported[n]
+			}
+			d.SetMembers(instanceID(n), members)
+			d.SetFleetPosition(f.clock(), max(0, slices.Index(members, instanceID(n))), len(members))
+			d.ApplyTotals(f.clock(), sum, reported[n])
+		}
+	})
+	if f.Now() < coldEnd {
+		f.Schedule(200*time.Millisecond, f.exchange)
+	}
+}
+
+// arrive sends a group of requests to one instance.
+func (f *coldFleet) arrive() {
+	n := f.random.IntN(f.instances)
+	for range 3 {
+		f.requests++
+		task, fault := f.dispatchers[n].Admit(f.clock(), Request{ID: strconv.Itoa(f.requests), Route: f.route, ArrivedAt: f.clock(), Deadline: f.clock().Add(f.route.Timeout)})
+		if fault == nil {
+			f.next(n, task)
+		}
+	}
+	rate := cmp.Or(f.demand, coldDemand) * float64(f.upstreams) * (1 + 0.55*math.Sin(2*math.Pi*f.Now().Seconds()/13))
+	if f.Now() < coldEnd-6*time.Second {
+		f.Schedule(time.Duration(3/rate*float64(time.Second)), f.arrive)
+	}
+}
+
+func (f *coldFleet) next(n int, task *Task) {
+	d := f.dispatchers[n]
+	call, fault := d.NextCall(f.clock(), task)
+	if fault != nil {
+		if wait := d.WaitForRoom(f.clock(), task, fault); wait > 0 {
+			f.Schedule(wait, func() { f.next(n, task) })
+		}
+		return
+	}
+	index, _ := strconv.Atoi(string(call.Upstream.ID[2:]))
+	s := f.servers[index]
+	end := func(result Result) {
+		if result == Served {
+			state := UpstreamState{}
+			if f.Now() < s.coldUntil {
+				state.StatesCold, state.ColdFor = true, s.coldUntil-f.Now()
+			}
+			d.RecordUpstreamState(f.clock(), call, state)
+			d.StartAnswer(f.clock(), task, call, -1)
+			f.served++
+		}
+		d.EndCall(f.clock(), task, call, result)
+		if result != Served {
+			f.next(n, task)
+		}
+	}
+	// Connections take one to five milliseconds.
+	f.Schedule(time.Millisecond+time.Duration(f.random.IntN(4000))*time.Microsecond, func() {
+		if f.Now() < s.downUntil {
+			end(Unreachable)
+			return
+		}
+		f.calls[call.Upstream.DataCenter] = append(f.calls[call.Upstream.DataCenter], f.Now())
+		if f.Now() < s.coldUntil && f.Now() >= s.countFrom {
+			s.arrivals = append(s.arrivals, f.Now())
+		}
+		d.RecordConnected(f.clock(), call, "")
+		life := s.life
+		f.pollLife(s, life, f.Now()+coldWork, end)
+	})
+}
+
+// pollLife ends a call when its work is done, or when the life of the upstream has ended.
+func (f *coldFleet) pollLife(s *coldServer, life int64, until time.Duration, end func(Result)) {
+	f.Schedule(min(25*time.Millisecond, until-f.Now()), func() {
+		switch {
+		case s.life != life:
+			end(Broken)
+		case f.Now() >= until:
+			end(Served)
+		default:
+			f.pollLife(s, life, until, end)
+		}
+	})
+}
+
+// crash ends the life of an upstream. It is down for a time and then cold. Its entry tells late.
+func (f *coldFleet) crash(index int, down time.Duration) {
+	s := f.servers[index]
+	s.life++
+	s.downUntil = f.Now() + down
+	f.turnCold(index, down)
+	f.Schedule(down+entryDelay, func() {
+		f.entries[index].Incarnation, f.entries[index].ColdFor = s.life, coldStart
+		f.list()
+	})
+}
+
+// turnCold makes an upstream cold after a time.
+func (f *coldFleet) turnCold(index int, after time.Duration) {
+	s := f.servers[index]
+	s.coldUntil = f.Now() + after + coldStart
+	s.countFrom = f.Now() + max(after, f.settling)
+}
+
+// list tells the instances that are not cut off of the entries.
+func (f *coldFleet) list() {
+	for n, d := range f.dispatchers {
+		if !f.cut[n] {
+			d.SetUpstreams(f.clock(), f.entries)
+		}
+	}
+}
+
+// mostInASecond returns the largest number of the times in any second.
+func mostInASecond(times []time.Duration) int {
+	most, first := 0, 0
+	for n, at := range times {
+		for at-times[first] >= time.Second {
+			first++
+		}
+		most = max(most, n-first+1)
+	}
+	return most
+}
+
+func crashQuarter(down time.Duration) func(f *coldFleet) {
+	return func(f *coldFleet) {
+		for index := 0; index < f.upstreams; index += 4 {
+			f.crash(index, down)
+		}
+	}
+}
+
+// TestColdUpstreamsGetFewCalls guards against upstreams that crash again because all instances
+// together send them more than a cold one takes, and against callers who are served worse than the
+// other upstreams allow. The load is that of the second fleet.
+func TestColdUpstreamsGetFewCalls(t *testing.T) {
+	cutThird := func(f *coldFleet) {
+		for n := 0; n < f.instances; n += 3 {
+			f.cut[n] = true
+		}
+		crashQuarter(2 * time.Second)(f)
+	}
+	restartSome := func(f *coldFleet) {
+		crashQuarter(2 * time.Second)(f)
+		f.Schedule(1800*time.Millisecond, func() {
+			for n := 0; n < f.instances; n += 8 {
+				f.start(n)
+			}
+		})
+	}
+	turnAll := func(f *coldFleet) {
+		for index := range f.entries {
+			f.turnCold(index, 0)
+			f.entries[index].ColdFor = coldStart
+		}
+		f.list()
+	}
+	turnUnlisted := func(f *coldFleet) {
+		for index := 0; index < f.upstreams; index += 4 {
+			f.turnCold(index, 0)
+		}
+	}
+	for name, load := range map[string]coldLoad{
+		"a quarter crashes":           {instances: 66, upstreams: 36, play: crashQuarter(2 * time.Second), minServed: 0.99},
+		"they come back at once":      {instances: 66, upstreams: 36, play: crashQuarter(0), settling: time.Second, minServed: 0.99},
+		"a third of the fleet is cut": {instances: 66, upstreams: 36, play: cutThird, minServed: 0.99},
+		"instances start meanwhile":   {instances: 66, upstreams: 36, play: restartSome, minServed: 0.99},
+		"a quarter turns cold":        {instances: 66, upstreams: 36, play: turnUnlisted, settling: 1500 * time.Millisecond, minServed: 0.99},
+		// Credits start at zero, so the first calls go out after 0.9 s, and requests wait for 1 s.
+		"all turn cold":                 {instances: 66, upstreams: 90, play: turnAll, demand: 4.4, minServed: 0.97},
+		"a small fleet":                 {instances: 8, upstreams: 12, play: crashQuarter(2 * time.Second), minServed: 0.99},
+		"a large fleet":                 {instances: 300, upstreams: 24, play: crashQuarter(2 * time.Second), minServed: 0.99},
+		"many instances, few upstreams": {instances: 66, upstreams: 8, play: crashQuarter(2 * time.Second), minServed: 0.95},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newColdFleet(load)
+			f.AdvanceTo(coldEnd)
+			most, sum, cold := 0, 0, 0
+			for _, s := range f.servers {
+				if s.coldUntil > 0 {
+					most, sum, cold = max(most, mostInASecond(s.arrivals)), sum+len(s.arrivals), cold+1
+				}
+			}
+			t.Logf("%d in a second at most, %.1f a cold upstream; %d of %d requests served", most, float64(sum)/float64(max(1, cold)), f.served, f.requests)
+			is.True(most <= pacing.ColdBound{Overshoot: 1.5, Allowance: 5}.Most(coldRate))
+			is.True(float64(f.served) >= load.minServed*float64(f.requests))
+			// None is presumed cold for ever, also by instances that do not call it.
+			f.AdvanceTo(coldPlayAt + 40*time.Second)
+			for _, d := range f.dispatchers {
+				is.Equal(d.ColdUpstreams(f.clock()), 0)
+			}
+		})
+	}
+}
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -44,7 +44,8 @@
 	// leaving is true once the upstream has said in an answer that it is leaving. It
 	// stays true for its incarnation, whatever its registration says.
 	leaving bool
-	// limited is true while the upstream limits its rejections or its calls.
+	// limited is true while the upstream limits its rejections or its calls, or is
+	// cold.
 	limited bool
 	// paced is true once the upstream has stated its pace.
 	paced bool
@@ -90,6 +91,8 @@
 	// misdirections are those of the models whose calls the upstream has rejected as
 	// misdirected, at most maxMisdirections. It is nil until there is one.
 	misdirections map[tables.ModelID]misdirection
+	// warmUp is last, since choices read all of the above and little of it.
+	warmUp warmUp
 }
 
 // Criteria are the properties of a request that decide on its upstream.
@@ -246,34 +249,46 @@
 	return u.notBefore
 }
 
-// HasRoom reports whether one more call is within the limits that the upstream has stated.
+// HasRoom reports whether one more call is within the limits that the upstream has stated, and
+// that of a cold one.
 func (u *Upstream) HasRoom(now time.Time) bool {
-	return !u.limited || u.MayReject(now) && u.Limit.Allows(now)
+	return !u.limited || u.limitsAllow(now)
+}
+
+// limitsAllow is the part of HasRoom that few upstreams need, so that the rest is inlined.
+func (u *Upstream) limitsAllow(now time.Time) bool {
+	return u.MayReject(now) && u.Limit.Allows(now) && u.warmUp.allows(now)
 }
 
 // UpdateLimited updates the state that is derived from the limits of the upstream.
 func (u *Upstream) UpdateLimited() {
 	_, named := u.Limit.Named()
-	u.limited = named || u.rejections.limited || u.admission.owned
+	u.limited = named || u.rejections.limited || u.admission.owned || u.warmUp.limited
 }
 
-// RoomAt returns when one more call is within the limits that the upstream has stated, as
-// far as is known now, zero if that is not known.
+// RoomAt returns when one more call is within the limits that the upstream has stated and that of
+// a cold one, as far as is known now, zero if that is not known.
 func (u *Upstream) RoomAt(now time.Time) time.Time {
-	rejected, paced := u.rejectionRoomAt(now), u.Limit.AllowsAt(now)
-	if rejected.IsZero() || paced.IsZero() {
+	rejected, paced, cold := u.rejectionRoomAt(now), u.Limit.AllowsAt(now), u.warmUp.allowsAt(now)
+	if rejected.IsZero() || paced.IsZero() || cold.IsZero() {
 		return time.Time{}
 	}
-	if rejected.After(paced) {
-		return rejected
+	if paced.After(rejected) {
+		rejected = paced
 	}
-	return paced
+	if cold.After(rejected) {
+		return cold
+	}
+	return rejected
 }
 
 // RecordCall records that a call is sent. Calls to an upstream that wanted none return
 // one at a time, since all that waited for it would overload it again.
 func (u *Upstream) RecordCall(now time.Time) {
 	u.Limit.RecordCall(now)
+	if u.warmUp.limited {
+		u.warmUp.credit.RecordCall(now)
+	}
 	if u.deferred {
 		u.notBefore = now.Add(probeInterval)
 	}
--- /dev/null
+++ b/internal/core/placement/warmup.go
@@ -0,0 +1,252 @@
+package placement
+
+import (
+	"time"
+
+	"mimosayard/internal/core/pacing"
+)
+
+// A warmUp is what this instance knows of whether an upstream is cold. The zero value is an
+// upstream that is not.
+type warmUp struct {
+	// limited is true while calls are limited since the upstream is cold or presumed to be.
+	limited bool
+	// duration is how long an upstream of the service is cold after its start.
+	duration time.Duration
+	// until is when the upstream is warm, by what this instance has seen itself, zero if it has
+	// seen nothing.
+	until time.Time
+	// lostAt is when this instance last lost a call or could not connect, zero once the upstream
+	// was reached since, by this instance or another. It may come back later, and cold.
+	lostAt time.Time
+	// toldUntil is until when the upstream is presumed cold because other instances do.
+	toldUntil time.Time
+	// connectedAt is when this instance last connected to the upstream while it was cold.
+	connectedAt time.Time
+	// credit is what this instance may send, by the callers of a generation.
+	credit     pacing.Credit
+	generation uint64
+	reason     ColdReason
+}
+
+// A ColdReason is why an upstream is presumed cold.
+type ColdReason string
+
+// The reasons for which an upstream is presumed cold.
+const (
+	// ColdByEntry is an entry with a new incarnation or a remaining time.
+	ColdByEntry ColdReason = "entry"
+	// ColdByAnswer is what the upstream has said in an answer.
+	ColdByAnswer ColdReason = "answer"
+	// ColdByLoss is a call of this instance that was lost or did not reach the upstream.
+	ColdByLoss ColdReason = "loss"
+	// ColdByPeers is what other instances have seen.
+	ColdByPeers ColdReason = "peers"
+	// ColdByEvacuation is the end of an evacuation.
+	ColdByEvacuation ColdReason = "evacuation"
+)
+
+const (
+	// maxLossTime is how long after its last loss an upstream that nobody reaches is presumed to
+	// come back cold. If it does so later, the others' next losses or its entry tell.
+	maxLossTime = 30 * time.Second
+	// toldTime is how long another instance's presumption counts after it was last told. Sums
+	// arrive several times a second.
+	toldTime = time.Second
+	// reachedTime is how long an instance tells the others that it has reached an upstream.
+	reachedTime = 2 * time.Second
+	// minAwaitTime is the time after a loss in which the news that another instance has reached
+	// the upstream may be older than the loss.
+	minAwaitTime = time.Second
+)
+
+// PresumeCold presumes that the upstream is cold for a time from now on, unless it is already for
+// longer.
+func (u *Upstream) PresumeCold(now time.Time, wait time.Duration, reason ColdReason) {
+	if until := now.Add(wait); until.After(u.warmUp.until) {
+		u.warmUp.until = until
+		u.warmUp.note(now, reason)
+	}
+}
+
+// StateCold records how much longer the upstream says it is cold, in an answer to a call that was
+// sent at the time. It replaces what was known before the call.
+func (u *Upstream) StateCold(now time.Time, wait time.Duration, sentAt time.Time) {
+	w := &u.warmUp
+	if !w.lostAt.Before(sentAt) {
+		// The answer may be of the life that ended.
+		return
+	}
+	w.until, w.lostAt = time.Time{}, time.Time{}
+	if wait > 0 {
+		w.until = now.Add(wait)
+		w.note(now, ColdByAnswer)
+	}
+}
+
+// RecordLoss presumes that the upstream has crashed and comes back cold.
+func (u *Upstream) RecordLoss(now time.Time) {
+	u.warmUp.lostAt = now
+	u.warmUp.note(now, ColdByLoss)
+}
+
+// RecordConnected records that a call has reached the upstream. If it was lost before, it is cold
+// from now on.
+func (u *Upstream) RecordConnected(now time.Time) {
+	if u.IsCold(now) {
+		u.warmUp.connectedAt = now
+		u.warmUp.reached(now)
+	}
+}
+
+// SeenCold reports whether this instance presumes that the upstream is cold by what it has seen
+// itself, and whether it has reached it lately.
+func (u *Upstream) SeenCold(now time.Time) (cold, reached bool) {
+	w := &u.warmUp
+	return w.seen(now), !w.connectedAt.IsZero() && now.Sub(w.connectedAt) < reachedTime
+}
+
+// TellCold records what other instances have seen: whether the upstream is cold, and whether one
+// has reached it.
+func (u *Upstream) TellCold(now time.Time, cold, reached bool) {
+	w := &u.warmUp
+	if cold {
+		w.toldUntil = now.Add(toldTime)
+		if !w.seen(now) {
+			w.note(now, ColdByPeers)
+		}
+	}
+	if reached && now.Sub(w.lostAt) > minAwaitTime {
+		w.reached(now)
+	}
+}
+
+// IsCold reports whether the upstream is cold or presumed to be.
+func (u *Upstream) IsCold(now time.Time) bool {
+	return u.warmUp.limited && u.warmUp.cold(now)
+}
+
+// ColdReason returns why the upstream is presumed cold.
+func (u *Upstream) ColdReason() ColdReason {
+	return u.warmUp.reason
+}
+
+// MayBeCold reports whether anything is known by which the upstream may be cold.
+func (u *Upstream) MayBeCold() bool {
+	w := &u.warmUp
+	return w.limited || !w.until.IsZero() || !w.lostAt.IsZero() || !w.toldUntil.IsZero()
+}
+
+// UpdateWarmUp limits the calls to the upstream if it is cold and ends the limit if it is not. The
+// duration is how long upstreams of the service are cold after their start. Share returns the rate
+// of this instance, which changes only with the generation. It reports whether the limit began or
+// ended.
+func (u *Upstream) UpdateWarmUp(now time.Time, duration time.Duration, generation uint64, share func() pacing.Rate) bool {
+	w := &u.warmUp
+	w.duration = duration
+	if !w.cold(now) {
+		ended := w.limited
+		*w = warmUp{duration: duration}
+		u.UpdateLimited()
+		return ended
+	}
+	began := !w.limited
+	switch {
+	case began:
+		w.limited, w.generation = true, generation
+		w.credit.Start(now, share())
+		u.UpdateLimited()
+	case w.generation != generation:
+		w.generation = generation
+		w.credit.SetShare(now, share())
+	}
+	return began
+}
+
+// DropWarmUp ends the limit on calls because the upstream is cold, and forgets that it is.
+func (u *Upstream) DropWarmUp() {
+	u.warmUp = warmUp{}
+	u.UpdateLimited()
+}
+
+// IDHash returns the hash of the ID of the upstream.
+func (u *Upstream) IDHash() uint64 {
+	return u.idHash
+}
+
+// WarmUpShare returns the rate at which this instance calls the upstream while it is cold.
+func (u *Upstream) WarmUpShare() pacing.Rate {
+	return u.warmUp.credit.Share()
+}
+
+// PacedShare returns the rate at which this instance may call an upstream that names a limit or is
+// cold, false if it is neither.
+func (u *Upstream) PacedShare(now time.Time) (share pacing.Rate, paced bool) {
+	_, named := u.Limit.Named()
+	switch {
+	case named && u.IsCold(now):
+		return min(u.Limit.Share(), u.WarmUpShare()), true
+	case named:
+		return u.Limit.Share(), true
+	}
+	return u.WarmUpShare(), u.IsCold(now)
+}
+
+// ReturnColdCall takes back a call that does not count for a cold upstream.
+func (u *Upstream) ReturnColdCall() {
+	if u.warmUp.limited {
+		u.warmUp.credit.ReturnCall()
+	}
+}
+
+// note records why the upstream is presumed cold, if it was not yet.
+func (w *warmUp) note(now time.Time, reason ColdReason) {
+	if !w.limited || !w.cold(now) || w.reason == "" {
+		w.reason = reason
+	}
+}
+
+// reached ends the wait for an upstream that was lost. It is cold from now on.
+func (w *warmUp) reached(now time.Time) {
+	if w.lostAt.IsZero() {
+		return
+	}
+	w.lostAt = time.Time{}
+	if until := now.Add(w.duration); until.After(w.until) {
+		w.until = until
+	}
+}
+
+// seen reports whether the upstream is cold by what this instance has seen.
+func (w *warmUp) seen(now time.Time) bool {
+	return now.Before(w.until) || !w.lostAt.IsZero() && now.Sub(w.lostAt) < maxLossTime
+}
+
+func (w *warmUp) cold(now time.Time) bool {
+	return w.seen(now) || now.Before(w.toldUntil)
+}
+
+// allows reports whether one more call is within the limit of a cold upstream.
+func (w *warmUp) allows(now time.Time) bool {
+	return !w.limited || !w.cold(now) || w.credit.Allows(now)
+}
+
+// allowsAt returns when one more call is within the limit, or the upstream is warm, zero if that
+// is not known.
+func (w *warmUp) allowsAt(now time.Time) time.Time {
+	if w.allows(now) {
+		return now
+	}
+	at := w.credit.AllowsAt(now)
+	warm := w.until
+	switch {
+	case !w.lostAt.IsZero():
+		return at
+	case w.toldUntil.After(warm):
+		warm = w.toldUntil
+	}
+	if at.IsZero() || warm.Before(at) {
+		return warm
+	}
+	return at
+}
