Send nothing to data centres that are evacuated

SetEvacuations marks the upstreams of the data centres, and HasRoom refuses each call there, whichever tier of the choice it is of. Requests that have no upstream outside are refused as not run, with Retry-After, and do not wait.

--- a/internal/core/dispatch/dispatch.go
+++ b/internal/core/dispatch/dispatch.go
@@ -53,6 +53,8 @@
 	callers pacing.Callers
 	// warmUpChanges are the changes that WarmUpChanges has not returned yet.
 	warmUpChanges map[tables.UpstreamID]WarmUpChange
+	// evacuated are the data centres that are evacuated.
+	evacuated []tables.DataCenterID
 	// hasUpstreams is true once upstreams were listed. Those that are listed later have started
 	// during traffic.
 	hasUpstreams bool
@@ -279,6 +281,7 @@
 		previous, isNew := u.ColdFor, u.ID == ""
 		u.SetEntry(now, entry)
 		d.recordEntry(now, u, previous, isNew)
+		d.updateEvacuated(u)
 		s := d.service(entry.Service)
 		s.upstreams = append(s.upstreams, u)
 	}
@@ -310,13 +313,13 @@
 	return count
 }
 
-// HasUpstream reports whether an upstream is known at the address.
+// HasUpstream reports whether an upstream is known at the address that is not evacuated.
 func (d *Dispatcher) HasUpstream(address string) bool {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	for _, s := range d.services {
 		for _, u := range s.upstreams {
-			if u.Address == address {
+			if u.Address == address && !u.Evacuated() {
 				return true
 			}
 		}
--- a/internal/core/dispatch/room.go
+++ b/internal/core/dispatch/room.go
@@ -182,7 +182,7 @@
 	defer d.mutex.Unlock()
 	for _, s := range d.services {
 		for _, u := range s.upstreams {
-			if u.Address == address && (u.Usable() || u.Draining(now)) {
+			if u.Address == address && !u.Evacuated() && (u.Usable() || u.Draining(now)) {
 				return u.Room().Acquire(now, u.Slots, wait, onOpen)
 			}
 		}
--- a/internal/core/dispatch/task.go
+++ b/internal/core/dispatch/task.go
@@ -635,7 +635,7 @@
 	fault := noUpstream(name)
 	earliest := time.Time{}
 	for _, u := range candidates {
-		if u.Usable() && !u.HasRoom(now) {
+		if u.Usable() && !u.Evacuated() && !u.HasRoom(now) {
 			return faults.New(faults.Overloaded, "the upstreams may have no room")
 		}
 		if u.Usable() && u.Deferred(now) && (earliest.IsZero() || u.NotBefore().Before(earliest)) {
--- a/internal/core/dispatch/waiting.go
+++ b/internal/core/dispatch/waiting.go
@@ -189,7 +189,7 @@
 func nextRoom(now time.Time, upstreams []*placement.Upstream) (earliest time.Time, rate pacing.Rate) {
 	allLimited := true
 	for _, u := range upstreams {
-		if !u.Usable() {
+		if !u.Usable() || u.Evacuated() {
 			continue
 		}
 		if share, paced := u.PacedShare(now); paced {
--- a/internal/core/dispatch/warmup_test.go
+++ b/internal/core/dispatch/warmup_test.go
@@ -321,3 +321,67 @@
 		})
 	}
 }
+
+// TestEvacuatedDataCentersGetNoCalls guards against calls to an evacuated data centre, against
+// requests that wait in vain when all are evacuated, and against all instances turning at one time
+// to upstreams that were idle, when an evacuation ends.
+func TestEvacuatedDataCentersGetNoCalls(t *testing.T) {
+	evacuate := func(f *coldFleet, dataCenters ...tables.DataCenterID) {
+		for _, d := range f.dispatchers {
+			d.SetEvacuations(f.clock(), dataCenters)
+		}
+	}
+	is := is.New(t)
+	var from, until [3]time.Duration
+	f := newColdFleet(coldLoad{instances: 66, upstreams: 90, play: func(f *coldFleet) {
+		evacuate(f, "dc-0")
+		from[0] = f.Now()
+		f.Schedule(3*time.Second, func() {
+			evacuate(f, "dc-1")
+			from[1], until[0] = f.Now(), f.Now()
+			for index := range f.servers {
+				if f.entries[index].DataCenter == "dc-0" {
+					f.turnCold(index, 0)
+				}
+			}
+		})
+		f.Schedule(7*time.Second, func() {
+			evacuate(f, "dc-0", "dc-1", "dc-2")
+			until[0], until[1], from[2] = max(until[0], 0), 0, f.Now()
+		})
+	}})
+	f.AdvanceTo(coldPlayAt + 7*time.Second)
+	served, requests := f.served, f.requests
+	is.True(served >= requests*97/100)
+	f.AdvanceTo(coldEnd)
+	const sent = 6 * time.Millisecond // Calls that were sent before arrive.
+	count := func(dataCenter tables.DataCenterID, from, until time.Duration) int {
+		calls := 0
+		for _, at := range f.calls[dataCenter] {
+			if at >= from+sent && at < until {
+				calls++
+			}
+		}
+		return calls
+	}
+	is.Equal(count("dc-0", from[0], until[0]), 0)
+	is.Equal(count("dc-1", from[1], coldEnd), 0)
+	for n := range 3 {
+		is.Equal(count(dataCenter(n), from[2], coldEnd), 0)
+	}
+	is.True(count("dc-0", until[0], from[2]) > 100)
+	most := 0
+	for _, s := range f.servers {
+		most = max(most, mostInASecond(s.arrivals))
+	}
+	t.Logf("%d in a second at most after the evacuation; %d of %d served while some were left", most, served, requests)
+	is.True(most <= 21)
+	d := f.dispatchers[0]
+	task, fault := d.Admit(f.clock(), Request{ID: "x", Route: f.route, ArrivedAt: f.clock(), Deadline: f.clock().Add(time.Second)})
+	is.True(fault == nil)
+	_, fault = d.NextCall(f.clock(), task)
+	is.True(fault != nil && fault.RetryAfter > 0)
+	is.Equal(d.WaitForRoom(f.clock(), task, fault), time.Duration(0))
+	is.True(!d.HasUpstream("u-0"))
+	is.True(d.AcquireRoom(f.clock(), "u-0", 0, func() {}) == nil)
+}
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -44,13 +44,15 @@
 	// leaving is true once the upstream has said in an answer that it is leaving. It
 	// stays true for its incarnation, whatever its registration says.
 	leaving bool
-	// limited is true while the upstream limits its rejections or its calls, or is
-	// cold.
+	// limited is true while the upstream limits its rejections or its calls, is cold or is
+	// evacuated.
 	limited bool
 	// paced is true once the upstream has stated its pace.
 	paced bool
 	// overused is true if its recent work is above the mean of the service's upstreams.
 	overused bool
+	// evacuated is true while its data centre is.
+	evacuated bool
 
 	catalog.Upstream
 	// Calls and Failures count this instance's recent calls and those of them
@@ -250,27 +252,38 @@
 }
 
 // HasRoom reports whether one more call is within the limits that the upstream has stated, and
-// that of a cold one.
+// those of a cold or evacuated one.
 func (u *Upstream) HasRoom(now time.Time) bool {
 	return !u.limited || u.limitsAllow(now)
 }
 
 // limitsAllow is the part of HasRoom that few upstreams need, so that the rest is inlined.
 func (u *Upstream) limitsAllow(now time.Time) bool {
-	return u.MayReject(now) && u.Limit.Allows(now) && u.warmUp.allows(now)
+	return !u.evacuated && u.MayReject(now) && u.Limit.Allows(now) && u.warmUp.allows(now)
+}
+
+// SetEvacuated records whether the data centre of the upstream is evacuated. It gets no call then.
+func (u *Upstream) SetEvacuated(evacuated bool) {
+	u.evacuated = evacuated
+	u.UpdateLimited()
+}
+
+// Evacuated reports whether the data centre of the upstream is evacuated.
+func (u *Upstream) Evacuated() bool {
+	return u.evacuated
 }
 
 // UpdateLimited updates the state that is derived from the limits of the upstream.
 func (u *Upstream) UpdateLimited() {
 	_, named := u.Limit.Named()
-	u.limited = named || u.rejections.limited || u.admission.owned || u.warmUp.limited
+	u.limited = named || u.rejections.limited || u.admission.owned || u.warmUp.limited || u.evacuated
 }
 
 // RoomAt returns when one more call is within the limits that the upstream has stated and that of
 // a cold one, as far as is known now, zero if that is not known.
 func (u *Upstream) RoomAt(now time.Time) time.Time {
 	rejected, paced, cold := u.rejectionRoomAt(now), u.Limit.AllowsAt(now), u.warmUp.allowsAt(now)
-	if rejected.IsZero() || paced.IsZero() || cold.IsZero() {
+	if u.evacuated || rejected.IsZero() || paced.IsZero() || cold.IsZero() {
 		return time.Time{}
 	}
 	if paced.After(rejected) {
