Take the bounds for cold upstreams and evacuations from the settings

The platform states cold_overshoot, cold_allowance and evacuate_ms in its table of bounds; earlier platforms do not. The two for cold upstreams are applied again from a changed file; evacuate_ms needs a restart, since it decides whether the kind is watched.

--- a/internal/instance/entry/entry.go
+++ b/internal/instance/entry/entry.go
@@ -21,6 +21,7 @@
 	"mimosayard/internal/backend/forward"
 	"mimosayard/internal/core/dispatch"
 	"mimosayard/internal/core/membership"
+	"mimosayard/internal/core/pacing"
 	"mimosayard/internal/core/quarantine"
 	"mimosayard/internal/core/releases"
 	"mimosayard/internal/core/retries"
@@ -341,6 +342,7 @@
 		Retries:    retries.Budget{Ratio: s.RetryRatio, Slack: s.RetrySlack, Window: s.RetryWindow.Duration()},
 		Release:    releases.Limits{MaxExposure: s.MaxExposure, ExposureSlack: s.ExposureSlack},
 		SessionTTL: s.SessionTTL.Duration(),
+		Cold:       pacing.ColdBound{Overshoot: s.ColdOvershoot, Allowance: s.ColdAllowance},
 	}
 }
 
--- a/internal/instance/settings/shared.go
+++ b/internal/instance/settings/shared.go
@@ -33,6 +33,14 @@
 	MaxExposure float64 `json:"exposure_share,omitempty"`
 	// ExposureSlack is the number of requests that may reach it in addition.
 	ExposureSlack float64 `json:"exposure_slack,omitempty"`
+	// ColdOvershoot and ColdAllowance bound the requests of all instances to a cold upstream in
+	// any second: ColdOvershoot for each that its service tolerates, and ColdAllowance besides.
+	// There is no bound if ColdOvershoot is zero.
+	ColdOvershoot float64 `json:"cold_overshoot,omitempty"`
+	ColdAllowance float64 `json:"cold_allowance,omitempty"`
+	// EvacuateMS is the time in milliseconds after which an evacuated data centre must get no
+	// requests. Evacuations are not read if it is zero.
+	EvacuateMS float64 `json:"evacuate_ms,omitempty"`
 }
 
 // Seconds is a duration in seconds.
@@ -66,6 +74,12 @@
 	return time.Duration(p.UpstreamDrainMS * float64(time.Millisecond))
 }
 
+// EvacuationTime returns the time after which an evacuated data centre must get no requests, zero
+// if evacuations are not read.
+func (p *SharedPlatform) EvacuationTime() time.Duration {
+	return time.Duration(p.EvacuateMS * float64(time.Millisecond))
+}
+
 func (p *SharedPlatform) setDefaults() {
 	setDefault(&p.StopGrace, defaultGrace)
 	setDefault(&p.UpstreamDrainMS, defaultDrainMS)
@@ -111,4 +125,18 @@
 	if p.MemoryMB < 0 {
 		add("shared_platform.memory_mb", "is %d; want 0 or more", p.MemoryMB)
 	}
+	p.checkWarmUp(add)
+}
+
+// checkWarmUp checks the bounds for cold upstreams and evacuations.
+func (p *SharedPlatform) checkWarmUp(add func(field, format string, values ...any)) {
+	if p.ColdOvershoot < 0 || p.ColdAllowance < 0 {
+		add("shared_platform.cold_overshoot", "and cold_allowance are not negative")
+	}
+	if p.ColdAllowance > 0 && p.ColdOvershoot == 0 {
+		add("shared_platform.cold_allowance", "needs cold_overshoot")
+	}
+	if p.EvacuateMS < 0 || p.EvacuationTime() > maxDuration {
+		add("shared_platform.evacuate_ms", "is %v; want 0 to %v", p.EvacuateMS, maxDuration.Milliseconds())
+	}
 }
