Watch for evacuations, and log those and cold upstreams

Nothing read the kind evacuations. One instance of the fleet renews its watch each 2.1 s with 5,000 ms, like that for rollouts: half of the time for a change that all watches missed, the rest for its way.

Events 422 to 425 and two gauges tell of upstreams that are presumed cold and of data centres that are evacuated. The existing test fleet of the entry tests now sets evacuate_ms.

--- a/internal/instance/entry/entry.go
+++ b/internal/instance/entry/entry.go
@@ -52,10 +52,12 @@
 	config       *storecache.Cache
 	upstreams    *storecache.Cache
 	rollouts     *storecache.Cache
-	node         *peers.Node
-	metrics      *metrics.Recorder
-	ingress      *ingress.Server
-	dialer       *connect.Dialer
+	// evacuations is nil if the settings do not have evacuations read.
+	evacuations *storecache.Cache
+	node        *peers.Node
+	metrics     *metrics.Recorder
+	ingress     *ingress.Server
+	dialer      *connect.Dialer
 	// budget and connections bound what callers take of the process.
 	budget      *budget.Budget
 	connections budget.Connections
--- a/internal/instance/entry/links_test.go
+++ b/internal/instance/entry/links_test.go
@@ -135,7 +135,7 @@
 		PeerKey:          []byte("a key for the tests of the links"),
 		SeedPeers:        []string{f.subnet + ".10:8082", f.subnet + ".11:8082"},
 		BalancerLag:      10,
-		Shared:           &settings.SharedPlatform{StoreAddress: f.store.Listener.Addr().String(), ReadyAddress: address(8083), StopGrace: f.grace},
+		Shared:           &settings.SharedPlatform{StoreAddress: f.store.Listener.Addr().String(), ReadyAddress: address(8083), StopGrace: f.grace, EvacuateMS: 5000},
 	})
 	if err != nil {
 		f.t.Fatal(err)
--- a/internal/instance/entry/tasks.go
+++ b/internal/instance/entry/tasks.go
@@ -45,6 +45,9 @@
 	// rollouts. A change that the watch missed only delays the start of a
 	// rollout.
 	rolloutRenewalFactor = 3
+	// evacuationRenewalShare is the share of the time for an evacuation after which a watch that
+	// missed it is renewed. The rest is for the way to the other instances.
+	evacuationRenewalShare = 0.5
 	// processCheckInterval is the time between two checks of the clocks and the
 	// log, and between two updates of the gauges.
 	processCheckInterval = time.Second
@@ -78,6 +81,10 @@
 	i.upstreams.IgnoreCopies = true
 	i.rollouts = i.newCache(platform.KindRollouts, i.applyRollouts)
 	i.rollouts.RenewalFactor = rolloutRenewalFactor
+	if limit := i.settings.Shared.EvacuationTime(); limit > 0 {
+		i.evacuations = i.newCache(platform.KindEvacuations, i.applyEvacuations)
+		i.evacuations.RenewalFactor = storecache.RenewalFactorFor(time.Duration(evacuationRenewalShare * float64(limit)))
+	}
 }
 
 func (i *Instance) newCache(kind platform.Kind, onChange func([]platform.Object, time.Duration)) *storecache.Cache {
@@ -92,7 +99,11 @@
 }
 
 func (i *Instance) caches() []*storecache.Cache {
-	return []*storecache.Cache{i.config, i.rollouts, i.upstreams}
+	caches := []*storecache.Cache{i.config, i.rollouts, i.upstreams}
+	if i.evacuations != nil {
+		caches = append(caches, i.evacuations)
+	}
+	return caches
 }
 
 // cache returns the cache of a kind of objects, or nil if there is none.
@@ -190,6 +201,7 @@
 	}
 	i.logQuarantineChanges()
 	events.LogLimits(i.log, i.dispatcher.LimitChanges())
+	i.logWarmUps()
 	for _, change := range i.dispatcher.ToleranceChanges() {
 		events.UpstreamBrittle.Log(i.log, zap.String("upstream", string(change.Upstream)), zap.Int("rejections", change.Rejections),
 			zap.Bool("admitted", change.Admitted), zap.String("owner", string(change.Owner)))
@@ -357,6 +369,8 @@
 		i.metrics.SetGauge("relays", float64(i.node.Relays()))
 		i.metrics.SetGauge("links_lost", metrics.Bool(i.dialer.Links.AllLost()))
 		i.metrics.SetGauge("quarantined_parts", float64(i.dispatcher.QuarantinedParts()))
+		i.metrics.SetGauge("cold_upstreams", float64(i.dispatcher.ColdUpstreams(time.Now())))
+		i.metrics.SetGauge("evacuated_data_centers", float64(len(i.dispatcher.Evacuations())))
 		i.metrics.SetGauge("peers", float64(len(i.node.Members())))
 	}
 	return nil
@@ -424,6 +438,7 @@
 		{"log_level", i.settings.LogLevel, reloaded.LogLevel},
 		{"shared_platform.store_address", i.settings.Shared.StoreAddress, reloaded.Shared.StoreAddress},
 		{"shared_platform.ready_address", i.settings.Shared.ReadyAddress, reloaded.Shared.ReadyAddress},
+		{"shared_platform.evacuate_ms", i.settings.Shared.EvacuationTime().String(), reloaded.Shared.EvacuationTime().String()},
 		{"shared_platform.upstream_drain_ms", i.settings.Shared.UpstreamDrain().String(), reloaded.Shared.UpstreamDrain().String()},
 	} {
 		if f.current != f.reloaded {
@@ -444,6 +459,8 @@
 		"quarantined": i.dispatcher.QuarantinedParts(),
 		"links_lost":  i.dialer.Links.AllLost(),
 		"relays":      i.node.Relays(),
+		"cold":        i.dispatcher.ColdUpstreams(time.Now()),
+		"evacuated":   i.dispatcher.Evacuations(),
 		"beliefs":     i.documentVersions(),
 	}
 	if index := i.dispatcher.Index(); index != nil {
--- a/internal/instance/storecache/storecache.go
+++ b/internal/instance/storecache/storecache.go
@@ -108,6 +108,12 @@
 	maxBackoff = time.Second
 )
 
+// RenewalFactorFor returns the RenewalFactor with which a change that all watches missed is found
+// within a time, at least one.
+func RenewalFactorFor(limit time.Duration) int {
+	return max(1, int(limit/watchRenewalInterval))
+}
+
 // Run lists and watches the objects until the context ends. It retries failed
 // calls with exponential backoff, and always returns nil.
 func (c *Cache) Run(ctx context.Context) error {
--- a/internal/telemetry/events/events.go
+++ b/internal/telemetry/events/events.go
@@ -74,6 +74,14 @@
 var (
 	UpstreamLimited = Event{420, zap.InfoLevel, "limit that an upstream names has changed", "None; if callers are refused as overloaded, look at the upstream for why it limits its calls."}
 	UpstreamBrittle = Event{421, zap.InfoLevel, "number of rejections that an upstream tolerates has changed", "None; if callers are refused as overloaded, look at the upstream for why it tolerates few."}
+	UpstreamCold    = Event{422, zap.InfoLevel, "upstream is presumed cold", "None; reason tells why, share the rate at which this instance calls it."}
+	UpstreamWarm    = Event{423, zap.InfoLevel, "upstream is no longer presumed cold", "None."}
+)
+
+// Events of evacuations.
+var (
+	EvacuationBegun = Event{424, zap.WarnLevel, "data centre is evacuated", "None; no request is sent to its upstreams until the object evacuations with its name is removed."}
+	EvacuationEnded = Event{425, zap.InfoLevel, "evacuation of a data centre has ended", "None; its upstreams are presumed cold at first."}
 )
 
 // Events of callers.
@@ -116,7 +124,7 @@
 		ConfigInForce, ConfigAccepted, ConfigRejected, ConfigUnreadable,
 		PlatformUnavailable, PlatformAvailable, RaterUnavailable, WatchHistoryExpired, ObjectsChanged, ObjectUndecodable, RolloutStatusWritten, RolloutStatusNotWritten, StoreRestored,
 		PeerDown, BillCopiesHeld, PeerBillsSettled, BillsPending, BillLimitReached, BillNotCopied,
-		LinksLost, LinksBack, UpstreamLimited, UpstreamBrittle, CallersRefused,
+		LinksLost, LinksBack, UpstreamLimited, UpstreamBrittle, UpstreamCold, UpstreamWarm, EvacuationBegun, EvacuationEnded, CallersRefused,
 		RolloutAdvanced, VersionWithdrawn, VersionJudgedBad, PartQuarantined, PartReleased, PartNotStored,
 		OrderAcknowledged, OrdersFailed,
 		RequestFailed, RequestServed, IdempotencyKeyNotReleased,
