Open no call that waits for room in an evacuated data centre

A call that waited at the instance that admits the calls to an upstream was sent when its turn came, up to half of its target after the evacuation was in force. The semaphore of the upstream now opens none until the evacuation ends, so these calls get no room in time and go elsewhere.

TestCallsThatWaitForRoomAreNotSentToAnEvacuatedDataCenter passes.

--- a/internal/core/dispatch/warmup_test.go
+++ b/internal/core/dispatch/warmup_test.go
@@ -385,3 +385,22 @@
 	is.True(!d.HasUpstream("u-0"))
 	is.True(d.AcquireRoom(f.clock(), "u-0", 0, func() {}) == nil)
 }
+
+// TestCallsThatWaitForRoomAreNotSentToAnEvacuatedDataCenter guards against calls that an instance
+// admits after an evacuation has begun, and against an upstream that admits none after its end.
+func TestCallsThatWaitForRoomAreNotSentToAnEvacuatedDataCenter(t *testing.T) {
+	is := is.New(t)
+	d := newDispatcher(catalog.Upstream{ID: "u", Service: "svc", Address: "a", DataCenter: "here", Version: "v1", Slots: 1, Ready: true})
+	opened := 0
+	acquire := func() *pacing.Permit { return d.AcquireRoom(now, "a", time.Second, func() { opened++ }) }
+	first, second := acquire(), acquire()
+	is.True(first != nil && second != nil)
+	is.Equal(opened, 1)
+	d.SetEvacuations(now, []tables.DataCenterID{"here"})
+	d.ReleaseRoom(now, first)
+	is.Equal(opened, 1)
+	d.ReleaseRoom(now, second)
+	d.SetEvacuations(now, nil)
+	is.True(acquire() != nil)
+	is.Equal(opened, 2)
+}
--- a/internal/core/pacing/semaphore.go
+++ b/internal/core/pacing/semaphore.go
@@ -9,6 +9,8 @@
 // the callers of all instances. Callers wait in order of arrival. The zero value is free. It
 // is not safe for concurrent use.
 type Semaphore struct {
+	// closed is true while no call may be opened.
+	closed bool
 	// limit is the number of calls that may be open at once, as of the latest call.
 	limit, open int
 	waiting     []*Permit
@@ -99,6 +101,11 @@
 	}
 }
 
+// SetClosed lets no more calls be opened while it is set. Calls that wait get no room in time.
+func (s *Semaphore) SetClosed(closed bool) {
+	s.closed = closed
+}
+
 func (s *Semaphore) start(now time.Time, p *Permit) {
 	s.open++
 	p.isOpen, p.openedAt = true, now
@@ -108,6 +115,9 @@
 // hasRoom reports whether one more call may be open. After a rejection the upstream may reject
 // all that are open.
 func (s *Semaphore) hasRoom(now time.Time) bool {
+	if s.closed {
+		return false
+	}
 	s.rejected = slices.DeleteFunc(s.rejected, func(at time.Time) bool { return now.Sub(at) > rejectionWindow })
 	if count := len(s.rejected); count > 0 && count+s.open >= s.tolerated {
 		return false
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -265,6 +265,7 @@
 // SetEvacuated records whether the data centre of the upstream is evacuated. It gets no call then.
 func (u *Upstream) SetEvacuated(evacuated bool) {
 	u.evacuated = evacuated
+	u.Room().SetClosed(evacuated)
 	u.UpdateLimited()
 }
 
