Count members for cold upstreams only with a bound for them

Deployments whose settings have no bound for cold upstreams kept the members' names for nothing. TestNothingIsColdWithoutABound also guards that an entry's remaining time limits and tells nothing without the setting or the service's rate.

--- a/internal/core/dispatch/evidence.go
+++ b/internal/core/dispatch/evidence.go
@@ -127,7 +127,9 @@
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	d.totals = totals
-	d.callers.Set(now, d.self, d.members)
+	if d.limits.Cold.Overshoot > 0 {
+		d.callers.Set(now, d.self, d.members)
+	}
 	d.quarantineChanges = append(d.quarantineChanges, d.quarantine.ApplyTotals(now, totals, reported)...)
 	var verdicts []Verdict
 	for _, s := range d.services {
--- a/internal/core/dispatch/warmup_test.go
+++ b/internal/core/dispatch/warmup_test.go
@@ -322,6 +322,31 @@
 	}
 }
 
+// TestNothingIsColdWithoutABound guards against limits at deployments whose settings or services
+// have no bound for cold upstreams.
+func TestNothingIsColdWithoutABound(t *testing.T) {
+	for name, c := range map[string]struct {
+		bound pacing.ColdBound
+		rate  float64
+		cold  int
+	}{
+		"no setting":      {rate: 11},
+		"no service rate": {bound: pacing.ColdBound{Overshoot: 1.5, Allowance: 5}},
+		"both":            {bound: pacing.ColdBound{Overshoot: 1.5, Allowance: 5}, rate: 11, cold: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			d := New("here", Limits{Cold: c.bound}, rand.New(rand.NewPCG(1, 2)))
+			d.SetUpstreams(now, []catalog.Upstream{{ID: "u", Service: "desk", Address: "a", Version: "v1", Slots: 1, Ready: true, ColdFor: time.Second}})
+			d.SetCatalog(&catalog.Catalog{Version: 1, Services: []catalog.Service{{Name: "desk", ColdStart: coldStart, ColdRate: c.rate}}})
+			d.ApplyTotals(now, nil, nil)
+			is.Equal(d.ColdUpstreams(now), c.cold)
+			is.Equal(len(d.WarmUpChanges()), c.cold)
+			is.Equal(len(d.Contribution(now)) > 0, c.cold > 0)
+		})
+	}
+}
+
 // TestEvacuatedDataCentersGetNoCalls guards against calls to an evacuated data centre, against
 // requests that wait in vain when all are evacuated, and against all instances turning at one time
 // to upstreams that were idle, when an evacuation ends.
