Spread calls of plain services by what their upstreams can take

All instances chose the upstream that had the least work 100 to 400 ms before, overran it, and left the others idle. Where an upstream states its pace and the service runs no models, calls now go to a random upstream, weighted by what it can end within 300 ms at its present pace beyond the work that is known. The pace and the usual time of the work are shared as sums.

--- a/internal/core/dispatch/dispatch.go
+++ b/internal/core/dispatch/dispatch.go
@@ -109,6 +109,7 @@
 	waiting                     waitingList
 	// urgencies is the mix of urgencies in the prompts of recent calls.
 	urgencies urgencyMix
+	admission admission
 }
 
 // partition divides a service's upstreams by a version.
--- a/internal/core/dispatch/evidence.go
+++ b/internal/core/dispatch/evidence.go
@@ -105,6 +105,7 @@
 			}
 			d.contributeWarmUp(now, u, set)
 		}
+		s.contribute(now, set)
 		for key, evidence := range s.evidence {
 			for _, field := range evidenceFields {
 				set(s.sumKey(key, field.name), *field.counter(evidence))
@@ -148,6 +149,7 @@
 		s.applyPaces(totals, reported)
 		s.applyFlows(now, totals, reported)
 		d.applyMemory(s, totals, reported)
+		d.applyAdmission(now, s, totals, reported)
 		verdicts = append(verdicts, d.judgeRollout(s, totals, reported)...)
 	}
 	return verdicts
--- a/internal/core/dispatch/task.go
+++ b/internal/core/dispatch/task.go
@@ -218,6 +218,8 @@
 		wait = d.promptWait(task, task.runModel())
 		criteria.AffinityKey, criteria.Prompt = task.affinityKey(task.runModel()), &wait
 		criteria.Tokens = task.Request.PromptTokens + tables.Tokens(task.service.usualEvents*task.service.tokensPerEvent)
+	} else if task.service.spreads() {
+		criteria.WorkTime = task.service.admission.usualWorkTime(task)
 	}
 	u, cacheHolder, source := d.chooser.Choose(now, candidates, criteria)
 	if u == nil {
@@ -369,6 +371,7 @@
 	}
 	if state.Load != nil {
 		call.upstream.RecordLoad(now, *state.Load)
+		d.recordReport(d.service(call.Upstream.Service), state.Load)
 	}
 	changed := call.upstream.Limit.RecordAnswer(now, state.MaxRate, state.NamesLimit)
 	if state.NamesLimit {
@@ -486,6 +489,7 @@
 		task.service.observeLatency(task, call)
 		task.service.observeGap(now, task, call)
 		task.service.observeEvents(call)
+		task.service.admission.observe(now, u, call.startLatency)
 	}
 	d.recordForQuarantine(now, task, call, result)
 }
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -90,6 +90,7 @@
 	pace       paceState
 	flow       flowState
 	memory     memoryState
+	fleetPace  fleetPace
 	// misdirections are those of the models whose calls the upstream has rejected as
 	// misdirected, at most maxMisdirections. It is nil until there is one.
 	misdirections map[tables.ModelID]misdirection
@@ -109,6 +110,9 @@
 	Tokens tables.Tokens
 	// Model is the model that the request runs on, empty if it names none.
 	Model tables.ModelID
+	// WorkTime is how long the request's work takes at the usual pace, if the choice is by what
+	// the upstreams can take, else zero.
+	WorkTime time.Duration
 	// DataCenter is the data centre whose upstreams are preferred.
 	DataCenter tables.DataCenterID
 	// Tried are the upstreams that the request has already been sent to.
@@ -396,6 +400,9 @@
 		if criteria.Prompt != nil {
 			return c.chooseByWait(now, criteria.AffinityKey, criteria.DataCenter, criteria.Prompt)
 		}
+		if criteria.WorkTime > 0 {
+			return spreadByCapacity(now, c.candidates, criteria.DataCenter, criteria.WorkTime, c.Random), nil, nil
+		}
 		return chooseByLoad(c.candidates, criteria.DataCenter, c.Random), nil, nil
 	}
 	return nil, nil, nil
--- /dev/null
+++ b/internal/core/placement/spread.go
@@ -0,0 +1,85 @@
+package placement
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"mimosayard/internal/core/tables"
+)
+
+// fleetPace is the mean pace in the reports that the fleet's instances have had lately.
+type fleetPace struct {
+	pace float64
+	at   time.Time
+}
+
+const (
+	// spreadHorizon is the time over which calls are split among upstreams: until the next
+	// sums arrive, which are up to 400 ms old.
+	spreadHorizon = 300 * time.Millisecond
+	// minSpread is the least part of its capacity by which an upstream is chosen, so that
+	// its state stays known.
+	minSpread = 0.02
+	// reportTTL is how long a report of the load counts as present. The machines are slow
+	// for some hundred ms at a time.
+	reportTTL = 250 * time.Millisecond
+	// statedPaceTTL is how long the pace in a report is used at all.
+	statedPaceTTL = 2 * time.Second
+)
+
+// SetFleetPace records the mean pace in the reports that the fleet has had lately.
+func (u *Upstream) SetFleetPace(now time.Time, pace float64) {
+	u.fleetPace = fleetPace{pace, now}
+}
+
+// RecentReport returns what the upstream has reported to this instance lately, and false if it
+// has reported no pace.
+func (u *Upstream) RecentReport(now time.Time) (ReportedLoad, bool) {
+	return u.reported.ReportedLoad, u.StatesPace() && now.Sub(u.reported.at) < reportTTL
+}
+
+// presentPace returns the pace by the latest of the reports that this instance and the others
+// have had. It is 1, the most likely, when none is recent.
+func (u *Upstream) presentPace(now time.Time) float64 {
+	if _, ok := u.RecentReport(now); ok {
+		return u.Pace(now)
+	}
+	if u.fleetPace.pace > 0 && now.Sub(u.fleetPace.at) < reportTTL {
+		return u.fleetPace.pace
+	}
+	if u.StatesPace() && now.Sub(u.reported.at) < statedPaceTTL {
+		return u.Pace(now)
+	}
+	return 1
+}
+
+// Throughput returns the number of calls that the upstream can end in a second, given how long
+// the work of one usually takes.
+func (u *Upstream) Throughput(now time.Time, workTime time.Duration) float64 {
+	return float64(max(1, u.Slots)) / (u.presentPace(now) * workTime.Seconds())
+}
+
+// spreadByCapacity returns a random candidate by what each can take within spreadHorizon beyond
+// the work that it has. What is known of the work is up to 400 ms old, and all instances know the
+// same: if they chose the least work, they would overrun one upstream while others idle.
+func spreadByCapacity(now time.Time, candidates []*Upstream, dataCenter tables.DataCenterID, workTime time.Duration, random *rand.Rand) *Upstream {
+	weight := func(u *Upstream) float64 {
+		capacity := u.Throughput(now, workTime) * spreadHorizon.Seconds()
+		free := capacity - max(0, u.Work()-float64(u.Slots)/2)
+		if u.DataCenter != dataCenter {
+			free -= remotePenalty * float64(u.Slots)
+		}
+		return max(minSpread*capacity, free)
+	}
+	total := 0.0
+	for _, u := range candidates {
+		total += weight(u)
+	}
+	point := random.Float64() * total
+	for _, u := range candidates {
+		if point -= weight(u); point < 0 {
+			return u
+		}
+	}
+	return candidates[len(candidates)-1]
+}
