Refuse at once what few small upstreams cannot serve in time

Nothing decided who gets the room at a plain service with too little of it.

Where an upstream states its pace, each instance now divides the upstreams' throughput among the teams, max-min, from the fleet's arrivals in sums, and refuses at random what a team sends beyond its share, before any call. Within a team ranks go first, but none is starved. Retry-After is spread over the time within which the caller comes back. Instances that are missing in the sums are assumed to get as much as the others. A request that two upstreams rejected is refused. Gauges refused_over_capacity and expected_answer_ms show it.

--- a/internal/core/dispatch/admission.go
+++ b/internal/core/dispatch/admission.go
@@ -1,10 +1,18 @@
 package dispatch
 
 import (
+	"cmp"
+	"maps"
+	"math"
+	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"mimosayard/internal/core/aggregates"
+	"mimosayard/internal/core/faults"
 	"mimosayard/internal/core/placement"
+	"mimosayard/internal/core/tables"
 )
 
 // An admission is what is known of the work at a service without models whose upstreams state
@@ -15,6 +23,33 @@
 	// ownWork are the samples of this instance, workTime the mean over the fleet.
 	ownWork  workSamples
 	workTime time.Duration
+	// arrivals count this instance's requests, fleetDemand is the rate of the fleet's.
+	arrivals    arrivalWindow
+	fleetDemand map[teamSlot]rankRates
+	// reporters is the largest number of instances in the sums since reportersAt.
+	reporters   float64
+	reportersAt time.Time
+	// admitted are the parts of the requests that are admitted, by team and rank. All are
+	// admitted of those that are missing.
+	admitted map[teamSlot]rankRates
+	// refused counts the requests that this instance has refused.
+	refused int
+}
+
+// A teamSlot is the hash of a team. The sums have no names of teams.
+type teamSlot uint16
+
+// rankRates are numbers of requests in a second by rank, those of the last rank together with
+// later ones.
+type rankRates [maxRanks]float64
+
+// arrivalWindow counts the requests of the last ownWindow by the time of their arrival. The zero
+// value has none.
+type arrivalWindow struct {
+	buckets [ownBuckets]map[teamSlot]rankRates
+	// latest is the number of the newest bucket, counted from the first use.
+	latest  int64
+	firstAt time.Time
 }
 
 // workSamples sum up how long answers took on a machine of the usual pace. Older ones lose weight.
@@ -28,6 +63,8 @@
 	valueWorkSamples = "work_samples"
 	valuePace        = "pace"
 	valueReports     = "reports"
+	valueInstances   = "instances"
+	valueDemand      = "demand"
 )
 
 const (
@@ -38,6 +75,39 @@
 	// usualTargetFraction is the part of its target that a request is assumed to take while
 	// there are too few samples.
 	usualTargetFraction = 0.2
+	// teamSlots is so large that a team rarely shares the slot of a larger one.
+	teamSlots, maxRanks = 1 << 13, 8
+	// maxReportedTeams bounds the teams in an instance's part of the sums.
+	maxReportedTeams = 64
+	// bucketTime is the time between two sums. Sums have the requests of the last
+	// fleetBuckets, so that the fleet follows a team that suddenly sends more within half a
+	// second. An instance that is alone sees fewer requests, and goes by ownBuckets.
+	bucketTime               = 100 * time.Millisecond
+	fleetBuckets, ownBuckets = 5, 20
+	// admittedFraction is the part of the upstreams' throughput that is given out. Near the
+	// whole of it calls wait longer than their targets.
+	admittedFraction = 0.85
+	// drainTime is the time in which calls that wait at the upstreams beyond the usual are to
+	// be worked off.
+	drainTime = 200 * time.Millisecond
+	// minAdmitted is the least part of the throughput that is given out, however many wait.
+	minAdmitted = 0.3
+	// orderedFraction is the part of a team's share that goes by rank. The rest is for all
+	// ranks alike, so that none is starved.
+	orderedFraction = 0.75
+	// reportersMemory is how long an instance assumes the largest fleet that it has known.
+	reportersMemory = 30 * time.Second
+	// maxScale is the multiple of the demand in the sums up to which these are taken for the
+	// whole fleet's. If fewer instances are in them, this one goes by itself.
+	maxScale = 4
+	// aloneFraction is the part of the throughput that it then gives out, since it does not know
+	// how many wait.
+	aloneFraction = 0.8
+	// maxRejections is the number of upstreams that may reject a call before it is refused.
+	maxRejections = 2
+	// returnFraction is the part of the time that a caller has left within which it may come
+	// back. A later return would not be made.
+	returnFraction = 0.3
 )
 
 // spreads reports whether calls of the service are spread by what its upstreams can take.
@@ -78,6 +148,14 @@
 	}
 	set(s.admissionKey(valueWorkTime), a.ownWork.milliseconds)
 	set(s.admissionKey(valueWorkSamples), a.ownWork.count)
+	set(s.admissionKey(valueInstances), 1)
+	demand := a.arrivals.rates(now, fleetBuckets)
+	slots := slices.SortedFunc(maps.Keys(demand), func(x, y teamSlot) int { return cmp.Compare(demand[y].sum(), demand[x].sum()) })
+	for _, slot := range slots[:min(len(slots), maxReportedTeams)] {
+		for rank, rate := range demand[slot] {
+			set(s.admissionKey(valueDemand).Offset(int(slot)*maxRanks+rank), rate)
+		}
+	}
 	for _, u := range s.upstreams {
 		if report, ok := u.RecentReport(now); ok {
 			set(reportKey(valuePace, u), report.Pace)
@@ -106,6 +184,224 @@
 			u.SetFleetPace(now, totals[reportKey(valuePace, u)]/reports)
 		}
 	}
+	throughput := s.throughput(now)
+	if alone := a.updateDemand(now, s.admissionKey(valueDemand), totals, totals[s.admissionKey(valueInstances)]); alone {
+		throughput *= aloneFraction
+	}
+	a.divide(throughput)
+}
+
+// updateDemand updates the rate of the fleet's requests. Instances that are missing in the sums
+// are assumed to get as many requests as those that are in them. Alone is true if so few are in
+// them that this instance goes by its own requests.
+func (a *admission) updateDemand(now time.Time, key aggregates.Key, totals aggregates.Values, instances float64) (alone bool) {
+	instances = max(1, instances)
+	if instances >= a.reporters || now.Sub(a.reportersAt) > reportersMemory {
+		a.reporters, a.reportersAt = instances, now
+	}
+	scale := a.reporters / instances
+	if scale > maxScale {
+		own := a.arrivals.rates(now, ownBuckets)
+		for slot := range a.fleetDemand {
+			if _, ok := own[slot]; !ok {
+				own[slot] = rankRates{}
+			}
+		}
+		for slot, rates := range own {
+			last := a.fleetDemand[slot]
+			for rank := range rates {
+				// The last known rates halve the chance in the few own requests.
+				rates[rank] = (rates[rank]*a.reporters + last[rank]) / 2
+			}
+			own[slot] = rates
+		}
+		a.fleetDemand = own
+		return true
+	}
+	a.fleetDemand = map[teamSlot]rankRates{}
+	for total, rate := range totals {
+		if index := (total - key) >> 1; total&1 == key&1 && index < teamSlots*maxRanks {
+			slot := teamSlot(index / maxRanks)
+			rates := a.fleetDemand[slot]
+			rates[index%maxRanks] += rate * scale
+			a.fleetDemand[slot] = rates
+		}
+	}
+	return false
+}
+
+// throughput returns the number of calls in a second that the upstreams can end in time.
+func (s *service) throughput(now time.Time) float64 {
+	a := &s.admission
+	if a.workTime == 0 {
+		return math.Inf(1)
+	}
+	total, waiting := 0.0, 0.0
+	for _, u := range s.upstreams {
+		if u.Usable() && !u.Deferred(now) {
+			total += u.Throughput(now, a.workTime)
+			waiting += max(0, u.Excess()-float64(u.Slots)/2)
+		}
+	}
+	return max(minAdmitted*total, admittedFraction*total-waiting/drainTime.Seconds())
+}
+
+// divide gives each team its max-min share of the throughput, and a team's share to its ranks.
+func (a *admission) divide(throughput float64) {
+	a.admitted = nil
+	demands := make([]float64, 0, len(a.fleetDemand))
+	for _, rates := range a.fleetDemand {
+		demands = append(demands, rates.sum())
+	}
+	slices.Sort(demands)
+	for i, demand := range demands {
+		level := throughput / float64(len(demands)-i)
+		if demand <= level {
+			throughput -= demand
+			continue
+		}
+		a.admitted = map[teamSlot]rankRates{}
+		for slot, rates := range a.fleetDemand {
+			if total := rates.sum(); total > level {
+				a.admitted[slot] = rates.admitted(level / total)
+			}
+		}
+		return
+	}
+}
+
+// sum returns the rate over all ranks.
+func (r rankRates) sum() float64 {
+	total := 0.0
+	for _, rate := range r {
+		total += rate
+	}
+	return total
+}
+
+// admitted returns the part of the requests of each rank that is admitted, given that of all.
+func (r rankRates) admitted(part float64) rankRates {
+	var parts rankRates
+	ordered := orderedFraction * part * r.sum()
+	rest := part * r.sum() * (1 - orderedFraction)
+	for rank, rate := range r {
+		parts[rank] = rest / r.sum()
+		if rate > 0 {
+			first := min(ordered, rate*(1-parts[rank]))
+			ordered -= first
+			parts[rank] += first / rate
+		}
+	}
+	return parts
+}
+
+// slotOf returns the slot of a team.
+func slotOf(team tables.TeamID) teamSlot {
+	return teamSlot(xxhash.Sum64String(string(team)) % teamSlots)
+}
+
+// count adds a request.
+func (w *arrivalWindow) count(now time.Time, slot teamSlot, rank int) {
+	w.advance(now)
+	bucket := &w.buckets[w.latest%ownBuckets]
+	if *bucket == nil {
+		*bucket = map[teamSlot]rankRates{}
+	}
+	rates := (*bucket)[slot]
+	rates[min(max(rank, 0), maxRanks-1)]++
+	(*bucket)[slot] = rates
+}
+
+// rates returns the numbers of requests in a second over the last buckets.
+func (w *arrivalWindow) rates(now time.Time, buckets int64) map[teamSlot]rankRates {
+	w.advance(now)
+	sums := map[teamSlot]rankRates{}
+	for bucket := max(0, w.latest-buckets+1); bucket <= w.latest; bucket++ {
+		for slot, counts := range w.buckets[bucket%ownBuckets] {
+			rates := sums[slot]
+			for rank, count := range counts {
+				rates[rank] += count / (float64(buckets) * bucketTime.Seconds())
+			}
+			sums[slot] = rates
+		}
+	}
+	return sums
+}
+
+// advance empties the buckets that have left the window.
+func (w *arrivalWindow) advance(now time.Time) {
+	if w.firstAt.IsZero() {
+		w.firstAt = now
+	}
+	current := int64(now.Sub(w.firstAt) / bucketTime)
+	for w.latest = max(w.latest, current-ownBuckets); w.latest < current; {
+		w.latest++
+		w.buckets[w.latest%ownBuckets] = nil
+	}
+}
+
+// admissionFault returns the reason why a new request is refused before any call, nil if it is
+// admitted. Each instance decides by itself, at random by the parts that are due.
+func (d *Dispatcher) admissionFault(now time.Time, task *Task) *faults.Error {
+	a := &task.service.admission
+	if !a.active {
+		return nil
+	}
+	slot, rank := slotOf(task.Request.Team), min(max(task.Request.Rank, 0), maxRanks-1)
+	a.arrivals.count(now, slot, rank)
+	if parts, limited := a.admitted[slot]; limited && d.chooser.Random.Float64() >= parts[rank] {
+		return overCapacity(now, task, "the team sends more than its share of what the upstreams can serve")
+	}
+	return nil
+}
+
+// overCapacity returns the fault for a request that is refused before a call, or after calls that
+// did not run.
+func overCapacity(now time.Time, task *Task, detail string) *faults.Error {
+	fault := faults.New(faults.Overloaded, detail)
+	fault.RetryAfter = returnWithin(now, task)
+	task.overCapacity = true
+	task.service.admission.refused++
+	return fault
+}
+
+// Admission returns the number of requests that this instance has refused because the upstreams
+// of their services could not have served them in time, and the longest of the services' expected
+// times of an answer at their best upstreams.
+func (d *Dispatcher) Admission(now time.Time) (refused int, expected time.Duration) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	for _, s := range d.services {
+		a := &s.admission
+		refused += a.refused
+		best := time.Duration(0)
+		for _, u := range s.upstreams {
+			if a.workTime > 0 && u.Usable() {
+				if at := u.ExpectedTime(now, a.workTime); best == 0 || at < best {
+					best = at
+				}
+			}
+		}
+		expected = max(expected, best)
+	}
+	return refused, expected
+}
+
+// repeatFault returns the reason why a task gets no further call, nil if it may. Where requests
+// are refused for want of capacity, a task that upstreams have rejected does not go on for long.
+func (d *Dispatcher) repeatFault(now time.Time, task *Task) *faults.Error {
+	s := task.service
+	if !s.admission.active || task.PossibleRuns > 0 {
+		return d.retryFault(now, task)
+	}
+	if len(task.tried) >= min(maxRejections, len(s.upstreams)) {
+		return overCapacity(now, task, "the upstreams rejected the request")
+	}
+	fault := d.retryFault(now, task)
+	if fault != nil {
+		fault.RetryAfter = returnWithin(now, task)
+	}
+	return fault
 }
 
 // admissionKey is the key of the sum of one of the service's values.
--- a/internal/core/dispatch/task.go
+++ b/internal/core/dispatch/task.go
@@ -64,6 +64,9 @@
 	calls, arrivals, losses int
 	// misdirected is true once an upstream has rejected the request as misdirected.
 	misdirected bool
+	// overCapacity is true once the task is refused for want of capacity, for which it does not
+	// wait.
+	overCapacity bool
 	// noRoom is the number of upstreams that had no room for the task in time.
 	noRoom int
 	// suspects are the parts that may be at fault for the crash of an upstream, nil until
@@ -182,11 +185,14 @@
 	if s == nil {
 		return nil, noUpstream(name)
 	}
+	task := &Task{Request: request, service: s}
+	if fault := d.admissionFault(now, task); fault != nil {
+		return nil, fault
+	}
 	s.retries.CountRequest(now, d.limits.Retries)
 	if s.tracker.InProgress() {
 		s.traffic.Offered++
 	}
-	task := &Task{Request: request, service: s}
 	task.model = initialModel(task)
 	return task, nil
 }
@@ -202,7 +208,7 @@
 	if fault := d.quarantineFault(now, task); fault != nil {
 		return nil, fault
 	}
-	if fault := d.retryFault(now, task); fault != nil {
+	if fault := d.repeatFault(now, task); fault != nil {
 		return nil, fault
 	}
 	version, candidates := d.candidates(now, task)
--- a/internal/core/dispatch/waiting.go
+++ b/internal/core/dispatch/waiting.go
@@ -146,7 +146,7 @@
 // served within its target. If limits leave no room for it in that time, it is refused at
 // once, and the fault says when to return.
 func (d *Dispatcher) WaitForRoom(now time.Time, task *Task, fault *faults.Error) time.Duration {
-	if fault.Kind != faults.Overloaded || task.noRoom >= maxNoRoom {
+	if fault.Kind != faults.Overloaded || task.noRoom >= maxNoRoom || task.overCapacity {
 		return 0
 	}
 	latest := task.latestStart()
@@ -210,8 +210,22 @@
 // returnTime returns when the caller of a refused task may return: after the wait that it
 // would have had, up to twice as long, so that not all return at one time.
 func returnTime(task *Task, wait time.Duration) time.Duration {
-	const resolution = 1 << 16
-	spread := float64(xxhash.Sum64String("return\x00"+task.Request.ID)%resolution) / resolution
 	wait = min(max(wait, minReturn), maxReturn/2)
-	return wait + time.Duration(spread*float64(wait))
+	return wait + time.Duration(returnSpread(task)*float64(wait))
+}
+
+// returnWithin returns when the caller of a task that is refused at once may return, spread over
+// the part of its time within which it does so.
+func returnWithin(now time.Time, task *Task) time.Duration {
+	latest := time.Duration(returnFraction * float64(task.Request.Deadline.Sub(now)))
+	if latest < minReturn {
+		return returnTime(task, minReturn)
+	}
+	return minReturn + time.Duration(returnSpread(task)*float64(min(latest, maxReturn)-minReturn))
+}
+
+// returnSpread returns a number from 0 to 1 that differs among requests.
+func returnSpread(task *Task) float64 {
+	const resolution = 1 << 16
+	return float64(xxhash.Sum64String("return\x00"+task.Request.ID)%resolution) / resolution
 }
--- a/internal/core/placement/spread.go
+++ b/internal/core/placement/spread.go
@@ -59,6 +59,17 @@
 	return float64(max(1, u.Slots)) / (u.presentPace(now) * workTime.Seconds())
 }
 
+// Excess returns the calls that are known to wait at the upstream.
+func (u *Upstream) Excess() float64 {
+	return max(0, u.Work()-float64(max(1, u.Slots)))
+}
+
+// ExpectedTime returns how long a call would wait for a slot and run.
+func (u *Upstream) ExpectedTime(now time.Time, workTime time.Duration) time.Duration {
+	run := float64(workTime) * u.presentPace(now)
+	return time.Duration(run + u.Excess()/u.Throughput(now, workTime)*float64(time.Second))
+}
+
 // spreadByCapacity returns a random candidate by what each can take within spreadHorizon beyond
 // the work that it has. What is known of the work is up to 400 ms old, and all instances know the
 // same: if they chose the least work, they would overrun one upstream while others idle.
--- a/internal/instance/entry/tasks.go
+++ b/internal/instance/entry/tasks.go
@@ -371,6 +371,9 @@
 		i.metrics.SetGauge("quarantined_parts", float64(i.dispatcher.QuarantinedParts()))
 		i.metrics.SetGauge("cold_upstreams", float64(i.dispatcher.ColdUpstreams(time.Now())))
 		i.metrics.SetGauge("evacuated_data_centers", float64(len(i.dispatcher.Evacuations())))
+		refused, expected := i.dispatcher.Admission(now)
+		i.metrics.SetGauge("refused_over_capacity", float64(refused))
+		i.metrics.SetGauge("expected_answer_ms", float64(expected.Milliseconds()))
 		i.metrics.SetGauge("peers", float64(len(i.node.Members())))
 	}
 	return nil
