Let emulated engines lose answers, and instances lose power and sums

The loads could not show the fault of a sound prompt part in quarantine: crashes and deadly parts were the only causes of lost calls.

Engines may lose a share of the answers that they ran ("loses"), come back as new processes of which the instances hear later ("restarts", "entry_delay"), instances may be cut off from the sums ("cuts") or all lose power ("power_loss"); then only the quarantine in the emulated store is restored. A refused connection is reported, as the ingress does. Results count refusals for sound parts and crashes later than 3 s after the fifth.

--- a/internal/evaluation/loadsim/load.go
+++ b/internal/evaluation/loadsim/load.go
@@ -26,12 +26,16 @@
 	Engines      int                   `json:"engines"`
 	EngineConfig batching.Config       `json:"figures"`
 	// Models are sorted from the smallest to the largest.
-	Models       []Model       `json:"models"`
-	Classes      []Class       `json:"classes"`
-	Teams        []Team        `json:"teams"`
-	Surges       []Surge       `json:"surges,omitempty"`
-	Faults       []Fault       `json:"faults,omitempty"`
-	CrashingPart *CrashingPart `json:"crashing_part,omitempty"`
+	Models  []Model `json:"models"`
+	Classes []Class `json:"classes"`
+	Teams   []Team  `json:"teams"`
+	Surges  []Surge `json:"surges,omitempty"`
+	Faults  []Fault `json:"faults,omitempty"`
+	Cuts    []Cut   `json:"cuts,omitempty"`
+	// PowerLossSeconds is when all instances lose power and start anew, zero for never.
+	// They restore the quarantine from the store.
+	PowerLossSeconds float64       `json:"power_loss,omitempty"`
+	CrashingPart     *CrashingPart `json:"crashing_part,omitempty"`
 	// Paces makes the engines state four figures of their load.
 	Paces *Paces `json:"paces,omitempty"`
 	// ExchangeMS is the time between two exchanges of the fleet's totals, which are between
@@ -112,6 +116,22 @@
 	// multiplies the time of each step.
 	FailureRate    float64 `json:"fails,omitempty"`
 	StepTimeFactor float64 `json:"slow,omitempty"`
+	// AnswerLossRate is the fraction of the requests that the engine runs and whose
+	// answers are lost by a reset, before their first event or during it.
+	AnswerLossRate float64 `json:"loses,omitempty"`
+	// Restarts makes a Down engine come back as a new process, which the instances hear of
+	// EntryDelaySeconds later.
+	Restarts          bool    `json:"restarts,omitempty"`
+	EntryDelaySeconds float64 `json:"entry_delay,omitempty"`
+}
+
+// Cut separates InstanceCount instances from the index FirstInstance on from the sums of the
+// fleet. Each of them then takes itself for the only one.
+type Cut struct {
+	StartSeconds    float64 `json:"at"`
+	DurationSeconds float64 `json:"for"`
+	FirstInstance   int     `json:"first"`
+	InstanceCount   int     `json:"count"`
 }
 
 // CrashingPart adds requests to a class whose prompts have one part that crashes each
@@ -131,6 +151,9 @@
 	// RestartSeconds is the time from the crash of an engine to its restart as a new
 	// process.
 	RestartSeconds float64 `json:"restart"`
+	// EntryDelaySeconds is the time from the restart until the instances hear of the new
+	// process.
+	EntryDelaySeconds float64 `json:"entry_delay,omitempty"`
 }
 
 // Paces are how long work takes on the engines, relative to the usual time.
@@ -192,6 +215,11 @@
 			return fmt.Errorf("fault has engines %d to %d; the load has %d", f.FirstEngine, f.FirstEngine+f.EngineCount-1, l.Engines)
 		}
 	}
+	for _, c := range l.Cuts {
+		if c.FirstInstance < 0 || c.FirstInstance+c.InstanceCount > l.Instances {
+			return fmt.Errorf("cut has instances %d to %d; the load has %d", c.FirstInstance, c.FirstInstance+c.InstanceCount-1, l.Instances)
+		}
+	}
 	return nil
 }
 
--- a/internal/evaluation/loadsim/request.go
+++ b/internal/evaluation/loadsim/request.go
@@ -106,7 +106,7 @@
 	if len(r.parts) > 1 {
 		admission.SharedPartsHash = r.parts[len(r.parts)-2].ID | 1
 		for _, part := range r.parts[:len(r.parts)-1] {
-			admission.SharedParts = append(admission.SharedParts, quarantine.PartID(strconv.FormatUint(part.ID, 16)))
+			admission.SharedParts = append(admission.SharedParts, hexPart(part.ID))
 		}
 		admission.SharedTokens = tables.Tokens(r.promptTokens - r.parts[len(r.parts)-1].Tokens)
 	}
@@ -121,6 +121,11 @@
 	r.startNextCall()
 }
 
+// hexPart returns the name of a part of a prompt.
+func hexPart(id uint64) quarantine.PartID {
+	return quarantine.PartID(strconv.FormatUint(id, 16))
+}
+
 // contentPart returns the part that stands for the request and its copies. The last part of
 // a prompt is the request's own.
 func (r *request) contentPart() quarantine.PartID {
@@ -157,6 +162,7 @@
 	case r.isStale(call):
 		return
 	case r.engine.down:
+		r.dispatcher.RecordConnectionRefused(s.clock(), call)
 		r.endCallAndContinue(dispatch.Unreachable)
 		return
 	case s.random.Float64() < r.engine.failureRate:
@@ -183,12 +189,19 @@
 	}
 	j.OnFirstToken = func() {
 		if r.crashes {
-			s.crash(s.engineByAddress[call.Upstream.Address])
+			s.crash(r, s.engineByAddress[call.Upstream.Address])
 			return
 		}
 		s.scheduler.Schedule(networkDelay, func() { r.receiveFirstToken(call, j, model) })
 	}
 	j.OnEvent = func() { r.receiveEvent(call) }
+	if rate := r.engine.answerLossRate; rate > 0 && s.random.Float64() < rate {
+		lose := func() { s.scheduler.Schedule(networkDelay, func() { r.endCallIfCurrent(call, dispatch.Broken) }) }
+		if s.random.IntN(2) == 0 && !r.crashes {
+			j.OnFirstToken = lose
+		}
+		j.OnEvent = lose
+	}
 	j.OnDone = func() { s.scheduler.Schedule(networkDelay, func() { r.finish(call, j) }) }
 	r.job = j
 	if !r.engine.Submit(j) {
@@ -198,7 +211,12 @@
 
 // isStale reports whether the request has ended or continued with another call.
 func (r *request) isStale(call *dispatch.Call) bool {
-	return r.ended || r.call != call
+	return r.ended || r.call != call || r.isForgotten()
+}
+
+// isForgotten reports whether the request's instance has lost power since it came.
+func (r *request) isForgotten() bool {
+	return r.dispatcher != r.simulation.instances[r.instanceIndex]
 }
 
 func (r *request) modelFor(call *dispatch.Call) Model {
@@ -295,11 +313,14 @@
 func (r *request) handleRefusal(fault *faults.Error) {
 	s := r.simulation
 	s.collector.recordRefusal(s.scheduler.Now() - r.arrived)
+	if fault.Kind == faults.PromptQuarantined {
+		s.collector.recordQuarantined(s.scheduler.Now(), r, quarantine.PartID(fault.Detail))
+	}
 	remaining := s.routes[r.classIndex].Timeout - (s.scheduler.Now() - r.arrived)
 	if fault.RetryAfter > 0 && !r.retried && fault.RetryAfter < remaining/3 {
 		r.retried = true
 		s.scheduler.Schedule(fault.RetryAfter, func() {
-			if !r.ended {
+			if !r.ended && !r.isForgotten() {
 				r.submit(fmt.Sprintf("request-%d-again", s.requestCount))
 			}
 		})
@@ -314,7 +335,7 @@
 	if r.ended {
 		return
 	}
-	if r.call != nil {
+	if r.call != nil && !r.isForgotten() {
 		if r.job != nil {
 			r.engine.Cancel(r.job)
 		}
--- a/internal/evaluation/loadsim/results.go
+++ b/internal/evaluation/loadsim/results.go
@@ -7,6 +7,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
+	"mimosayard/internal/core/quarantine"
 	"mimosayard/internal/evaluation/latencies"
 )
 
@@ -38,6 +39,17 @@
 	Crashes        int     `json:"crashes,omitempty"`
 	LateCrashCalls int     `json:"late_crash_calls,omitempty"`
 	BesideCrashes  float64 `json:"beside_crashes,omitempty"`
+	// LateCrashes is the number of engines that Load.CrashingPart crashed later than
+	// crashNotice after the fifth one.
+	// CutCrashes is the number of those by requests at instances that were cut off from the
+	// sums, or had been until crashNotice before. They do not count as crashes.
+	LateCrashes int `json:"late_crashes,omitempty"`
+	CutCrashes  int `json:"cut_crashes,omitempty"`
+	// SoundRefusals is the number of requests that were refused for a sound part or for being
+	// a sound request, LongestSoundSeconds the longest time from the first to the last of
+	// them for one part.
+	SoundRefusals       int     `json:"sound_refusals,omitempty"`
+	LongestSoundSeconds float64 `json:"longest_sound,omitempty"`
 	// FirstEventMS is the time from arrival to the first event of a served
 	// request, and GapMS the time between two events.
 	FirstEventMS Quantiles `json:"first_ms"`
@@ -87,10 +99,14 @@
 	maxRefusalDelay time.Duration
 	// crashes are the times of the crashes by Load.CrashingPart, crashCalls those of
 	// the calls with the part that reached an engine.
+	// The crashes at instances that no evidence reaches are only counted, by cutCrashes.
 	crashes, crashCalls []time.Duration
-	offeredValue        float64
-	earnedValue         float64
-	modelCost           float64
+	cutCrashes          int
+	// soundRefusals are the times of the refusals by sound part.
+	soundRefusals map[quarantine.PartID][]time.Duration
+	offeredValue  float64
+	earnedValue   float64
+	modelCost     float64
 	// windows holds the work of each engine by window.
 	windows [][]float64
 	// engineWorkMS is the mean work of an engine, whatever its pace.
@@ -117,6 +133,8 @@
 
 func newCollector() *collector {
 	return &collector{
+		soundRefusals: map[quarantine.PartID][]time.Duration{},
+
 		firstEvent: latencies.NewHistogram(),
 		gaps:       latencies.NewHistogram(),
 	}
@@ -138,6 +156,15 @@
 	c.crashCalls = append(c.crashCalls, at)
 }
 
+// recordQuarantined records a request that is refused for a part.
+func (c *collector) recordQuarantined(at time.Duration, r *request, part quarantine.PartID) {
+	deadly := r.simulation.load.CrashingPart
+	if deadly != nil && (part == hexPart(crashingPartID) || deadly.Repeated && r.crashes && part == r.contentPart()) {
+		return
+	}
+	c.soundRefusals[part] = append(c.soundRefusals[part], at)
+}
+
 func (c *collector) recordGivenUp() {
 	c.givenUp++
 }
@@ -227,12 +254,18 @@
 		Refusals:       c.refusals,
 		MaxRefusalMS:   float64(c.maxRefusalDelay.Microseconds()) / 1000,
 		Crashes:        len(c.crashes),
-		LateCrashCalls: c.lateCrashCalls(),
+		LateCrashCalls: c.countLate(c.crashCalls),
 		BesideCrashes:  c.besideCrashes(load.CrashingPart),
-		FirstEventMS:   Quantiles(latencies.QuantilesOf(c.firstEvent)),
-		GapMS:          Quantiles(latencies.QuantilesOf(c.gaps)),
-		BusiestToMean:  overall,
-		Classes:        c.sharesBy(func(o outcome) string { return o.class }),
+		LateCrashes:    c.countLate(c.crashes),
+		CutCrashes:     c.cutCrashes,
+
+		SoundRefusals:       c.countSoundRefusals(),
+		LongestSoundSeconds: c.longestSound().Seconds(),
+
+		FirstEventMS:  Quantiles(latencies.QuantilesOf(c.firstEvent)),
+		GapMS:         Quantiles(latencies.QuantilesOf(c.gaps)),
+		BusiestToMean: overall,
+		Classes:       c.sharesBy(func(o outcome) string { return o.class }),
 
 		BusiestToMeanWindow: byWindow,
 		EngineWorkMS:        c.engineWorkMS,
@@ -249,21 +282,49 @@
 	enoughCrashes = 5
 )
 
-// lateCrashCalls returns the number of calls with the crashing part later than
-// crashNotice after enough crashes.
-func (c *collector) lateCrashCalls() int {
+// countLate returns the number of times that are later than crashNotice after enough
+// crashes.
+func (c *collector) countLate(times []time.Duration) int {
 	if len(c.crashes) < enoughCrashes {
 		return 0
 	}
-	late := 0
-	for _, at := range c.crashCalls {
+	count := 0
+	for _, at := range times {
 		if at > c.crashes[enoughCrashes-1]+crashNotice {
-			late++
+			count++
+		}
+	}
+	return count
+}
+
+// countSoundRefusals returns the value of Results.SoundRefusals.
+func (c *collector) countSoundRefusals() int {
+	count := 0
+	for _, times := range c.soundRefusals {
+		count += len(times)
+	}
+	return count
+}
+
+// longestSound returns the longest time from the first to the last refusal for a sound part,
+// where none is further than refusalGap from the next.
+func (c *collector) longestSound() time.Duration {
+	longest := time.Duration(0)
+	for _, times := range c.soundRefusals {
+		first := times[0]
+		for n, at := range times {
+			if n > 0 && at-times[n-1] > refusalGap {
+				first = at
+			}
+			longest = max(longest, at-first)
 		}
 	}
-	return late
+	return longest
 }
 
+// refusalGap is the time without a refusal after which a part counts as quarantined anew.
+const refusalGap = 3 * time.Second
+
 // besideCrashes returns the value of Results.BesideCrashes, one if there was no time to
 // measure.
 func (c *collector) besideCrashes(part *CrashingPart) float64 {
--- a/internal/evaluation/loadsim/simulation.go
+++ b/internal/evaluation/loadsim/simulation.go
@@ -2,13 +2,16 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"mimosayard/internal/core/aggregates"
 	"mimosayard/internal/core/catalog"
 	"mimosayard/internal/core/dispatch"
+	"mimosayard/internal/core/quarantine"
 	"mimosayard/internal/core/releases"
 	"mimosayard/internal/core/retries"
 	"mimosayard/internal/core/tables"
@@ -26,6 +29,7 @@
 	engines         []*engine
 	engineByAddress map[string]*engine
 	upstreams       []catalog.Upstream
+	config          *catalog.Catalog
 	routes          []*catalog.Route
 	// contributions holds each instance's part of the next totals.
 	contributions []aggregates.Values
@@ -37,6 +41,12 @@
 	paceRandom *rand.Rand
 	// exchangeInterval is the time between two exchanges of the fleet's totals.
 	exchangeInterval time.Duration
+	// stored are the quarantined parts in the store.
+	stored map[quarantine.PartID]bool
+	// cut holds the instances that get no sums of others, and cutUntil is when the others
+	// got them again.
+	cut      map[int]bool
+	cutUntil map[int]time.Duration
 }
 
 // engine is an emulated engine with its active faults.
@@ -50,6 +60,8 @@
 	lastingPace, momentFactor float64
 	// windowStart is the engine's work at the start of the present window.
 	windowStart float64
+	// answerLossRate is the fraction of the answers that are lost by a reset.
+	answerLossRate float64
 }
 
 const (
@@ -84,6 +96,9 @@
 		contributions:   make([]aggregates.Values, load.Instances),
 		collector:       newCollector(),
 		paceRandom:      rand.New(rand.NewPCG(seed, 2)),
+		stored:          map[quarantine.PartID]bool{},
+		cut:             map[int]bool{},
+		cutUntil:        map[int]time.Duration{},
 
 		exchangeInterval: defaultExchangeInterval,
 	}
@@ -117,18 +132,45 @@
 		s.engines = append(s.engines, e)
 		s.engineByAddress[entry.Address] = e
 	}
-	config := s.catalog()
+	s.config = s.catalog()
 	for n := range s.load.Instances {
-		limits := dispatch.Limits{
-			Retries:    retries.Budget{Ratio: 0.9, Slack: 58, Window: 10 * time.Second},
-			Release:    releases.Limits{MaxExposure: 0.15},
-			SessionTTL: 5 * time.Second,
+		s.instances = append(s.instances, s.newInstance(n))
+	}
+}
+
+// newInstance returns an instance that has just started.
+func (s *simulation) newInstance(n int) *dispatch.Dispatcher {
+	limits := dispatch.Limits{
+		Retries:    retries.Budget{Ratio: 0.9, Slack: 58, Window: 10 * time.Second},
+		Release:    releases.Limits{MaxExposure: 0.15},
+		SessionTTL: 5 * time.Second,
+	}
+	d := dispatch.New(s.dataCenter(n), limits, rand.New(rand.NewPCG(s.random.Uint64(), uint64(n))))
+	d.SetCatalog(s.config)
+	d.SetUpstreams(s.clock(), s.upstreams)
+	d.SetFleetPosition(s.clock(), n, s.load.Instances)
+	return d
+}
+
+// losePower ends all instances with what they hold, and starts new ones with the quarantine that
+// the store has kept.
+func (s *simulation) losePower() {
+	for n := range s.instances {
+		s.instances[n] = s.newInstance(n)
+		s.instances[n].RestoreQuarantine(s.clock(), slices.Sorted(maps.Keys(s.stored)))
+		s.contributions[n] = nil
+	}
+}
+
+// setCut cuts instances off from the sums of the others, or connects them again.
+func (s *simulation) setCut(c Cut, cut bool) {
+	for n := c.FirstInstance; n < c.FirstInstance+c.InstanceCount; n++ {
+		s.cut[n], s.cutUntil[n] = cut, s.scheduler.Now()
+		if cut {
+			s.instances[n].SetFleetPosition(s.clock(), 0, 1)
+		} else {
+			s.instances[n].SetFleetPosition(s.clock(), n, s.load.Instances)
 		}
-		d := dispatch.New(s.dataCenter(n), limits, rand.New(rand.NewPCG(s.random.Uint64(), uint64(n))))
-		d.SetCatalog(config)
-		d.SetUpstreams(s.clock(), s.upstreams)
-		d.SetFleetPosition(s.clock(), n, s.load.Instances)
-		s.instances = append(s.instances, d)
 	}
 }
 
@@ -176,9 +218,21 @@
 			start := seconds(fault.StartSeconds + float64(n)*fault.IntervalSeconds)
 			e := s.engines[fault.FirstEngine+n]
 			s.scheduler.Schedule(start, func() { s.injectFault(e, fault) })
-			s.scheduler.Schedule(start+seconds(fault.DurationSeconds), func() { e.clearFaults() })
+			s.scheduler.Schedule(start+seconds(fault.DurationSeconds), func() {
+				e.clearFaults()
+				if fault.Restarts {
+					s.scheduler.Schedule(seconds(fault.EntryDelaySeconds), func() { s.announceRestart(e) })
+				}
+			})
 		}
 	}
+	for _, c := range s.load.Cuts {
+		s.scheduler.Schedule(seconds(c.StartSeconds), func() { s.setCut(c, true) })
+		s.scheduler.Schedule(seconds(c.StartSeconds+c.DurationSeconds), func() { s.setCut(c, false) })
+	}
+	if s.load.PowerLossSeconds > 0 {
+		s.scheduler.Schedule(seconds(s.load.PowerLossSeconds), s.losePower)
+	}
 	s.schedulePaces()
 	s.scheduler.Schedule(s.exchangeInterval, s.exchangeTotals)
 }
@@ -188,6 +242,7 @@
 func (s *simulation) injectFault(e *engine, fault Fault) {
 	e.failureRate = max(e.failureRate, fault.FailureRate)
 	e.StepTimeFactor = max(e.StepTimeFactor, fault.StepTimeFactor)
+	e.answerLossRate = max(e.answerLossRate, fault.AnswerLossRate)
 	if fault.Down {
 		e.takeDown()
 	}
@@ -226,36 +281,69 @@
 }
 
 // crash ends an engine's process and starts a new one after a while.
-func (s *simulation) crash(e *engine) {
-	s.collector.recordCrash(s.scheduler.Now())
+func (s *simulation) crash(r *request, e *engine) {
+	if until, was := s.cutUntil[r.instanceIndex]; s.cut[r.instanceIndex] || was && s.scheduler.Now() < until+crashNotice {
+		s.collector.cutCrashes++
+	} else {
+		s.collector.recordCrash(s.scheduler.Now())
+	}
 	e.takeDown()
 	s.scheduler.Schedule(seconds(s.load.CrashingPart.RestartSeconds), func() {
 		e.down = false
-		s.upstreams[e.index].Incarnation++
-		for _, d := range s.instances {
-			d.SetUpstreams(s.clock(), s.upstreams)
-		}
+		s.scheduler.Schedule(seconds(s.load.CrashingPart.EntryDelaySeconds), func() { s.announceRestart(e) })
 	})
 }
 
+// announceRestart tells the instances that an engine has a new process.
+func (s *simulation) announceRestart(e *engine) {
+	s.upstreams[e.index].Incarnation++
+	for _, d := range s.instances {
+		d.SetUpstreams(s.clock(), s.upstreams)
+	}
+}
+
 // clearFaults ends all faults of the engine.
 func (e *engine) clearFaults() {
-	e.down, e.failureRate, e.StepTimeFactor = false, 0, 0
+	e.down, e.failureRate, e.StepTimeFactor, e.answerLossRate = false, 0, 0, 0
 }
 
 // exchangeTotals gives every instance the totals of the contributions that were
 // collected one interval earlier, and collects new ones.
 func (s *simulation) exchangeTotals() {
-	totals := aggregates.Sum(s.contributions)
+	var connected []aggregates.Values
+	for n := range s.instances {
+		if !s.cut[n] {
+			connected = append(connected, s.contributions[n])
+		}
+	}
+	totals := aggregates.Sum(connected)
 	for n, d := range s.instances {
-		d.ApplyTotals(s.clock(), totals, s.contributions[n])
+		seen := totals
+		if s.cut[n] {
+			seen = aggregates.Sum(s.contributions[n : n+1])
+		}
+		d.ApplyTotals(s.clock(), seen, s.contributions[n])
 		s.contributions[n] = d.Contribution(s.clock())
+		s.storeChanges(d.QuarantineChanges())
 	}
 	if s.scheduler.Now() < seconds(s.load.DurationSeconds)+drainTime {
 		s.scheduler.Schedule(s.exchangeInterval, s.exchangeTotals)
 	}
 }
 
+// storeChanges writes the changes of the quarantine to the store, as the instances do that
+// decide on them.
+func (s *simulation) storeChanges(changes []quarantine.Change) {
+	for _, change := range changes {
+		switch {
+		case change.Released && change.Decided:
+			delete(s.stored, change.Part)
+		case change.Decided:
+			s.stored[change.Part] = true
+		}
+	}
+}
+
 // scheduleArrival schedules the next request of a class.
 func (s *simulation) scheduleArrival(classIndex int) {
 	rate := s.load.Classes[classIndex].RequestsPerSecond * s.currentSurge(classIndex, "").rate
