Count a loss against a prompt part only until its upstream gives a sign of life

Cause: a call whose connection was reset counted as the end of a life for ten minutes, unless this instance sent another call to that life afterwards and got its answer. A verdict that was wrong was stored at once, and its object stayed if the part was released by an answer at an instance that did not refuse it yet, since followers remove nothing; a fleet that lost power restored it.

Change: events and answers of any call on a life, also of those sent before the loss, end the evidence of its losses. While there is evidence, instances tell the fleet of the lives that gave them a sign within 500 ms ("life_sign"); such a sign counts from 2 s after a loss on. A refused connection or another process in the upstream's entry proves the end ("life_end"): no sign counts then, and signs of the next process that came before the word of it are taken back. A quarantine whose evidence no longer suffices is withdrawn at all instances ("withdrawn"), not where evidence is gone with its instances. A quarantine is stored once two of its lives are known to have ended, or after 2.5 s, and removed by who stored it. Four lives known to have ended suffice whatever else is lost, since a bad part raises the rate of lost calls itself. Event 510 says whether it is a part or a request.

--- a/internal/core/dispatch/dispatch.go
+++ b/internal/core/dispatch/dispatch.go
@@ -275,6 +275,9 @@
 	for _, entry := range entries {
 		u := known[entry.ID]
 		if u == nil || !sameIncarnation(u.Upstream, entry) {
+			if u != nil && u.Incarnation != entry.Incarnation {
+				d.quarantine.RecordEnd(now, quarantine.Life(lifeName(u)))
+			}
 			u = &placement.Upstream{}
 			born = append(born, u)
 		}
--- a/internal/core/dispatch/evidence.go
+++ b/internal/core/dispatch/evidence.go
@@ -87,6 +87,7 @@
 		}
 	}
 	d.quarantine.Contribution(now, set)
+	d.contributeSigns(now, set)
 	d.visitSelectableSessions(now, func(key aggregates.Key) { set(key, 1) })
 	for _, s := range d.services {
 		for _, u := range s.upstreams {
@@ -131,6 +132,7 @@
 	if d.limits.Cold.Overshoot > 0 {
 		d.callers.Set(now, d.self, d.members)
 	}
+	d.recordSigns()
 	d.quarantineChanges = append(d.quarantineChanges, d.quarantine.ApplyTotals(now, totals, reported)...)
 	var verdicts []Verdict
 	for _, s := range d.services {
--- a/internal/core/dispatch/unresolved.go
+++ b/internal/core/dispatch/unresolved.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"mimosayard/internal/core/aggregates"
 	"mimosayard/internal/core/links"
 	"mimosayard/internal/core/placement"
 	"mimosayard/internal/core/quarantine"
@@ -34,6 +35,35 @@
 	defer d.mutex.Unlock()
 	if !d.links.Lost(now, links.Address(call.Upstream.Address)) {
 		d.resolveCalls(now, call.upstream)
+		d.quarantine.RecordEnd(now, quarantine.Life(lifeName(call.upstream)))
+	}
+}
+
+// recordSigns passes the signs of life that the upstreams have given to the quarantine. Calls
+// record them without the dispatcher's lock.
+func (d *Dispatcher) recordSigns() {
+	if !d.quarantine.WantsSigns() {
+		return
+	}
+	for _, s := range d.services {
+		for _, u := range s.upstreams {
+			d.quarantine.RecordSign(quarantine.Life(lifeName(u)), u.LastSign())
+		}
+	}
+}
+
+// contributeSigns tells the fleet, while it has evidence, which upstreams have given a sign
+// lately.
+func (d *Dispatcher) contributeSigns(now time.Time, set func(key aggregates.Key, value float64)) {
+	if !d.quarantine.HasEvidence() {
+		return
+	}
+	for _, s := range d.services {
+		for _, u := range s.upstreams {
+			if now.Sub(u.LastSign()) < quarantine.SignWindow {
+				set(quarantine.SignKey(quarantine.Life(lifeName(u))), 1)
+			}
+		}
 	}
 }
 
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -73,7 +73,8 @@
 	// last sign of life, an answer that started or an event, in nanoseconds since
 	// then. Calls record it without the dispatcher's lock.
 	registeredAt time.Time
-	lastSign     atomic.Int64
+	// ownSign is the same without what the fleet's counts show.
+	lastSign, ownSign atomic.Int64
 	// decayedAt is when Calls and Failures were last decayed, zero before the
 	// first time.
 	decayedAt time.Time
@@ -210,9 +211,25 @@
 
 // RecordSign records a sign of life of the upstream.
 func (u *Upstream) RecordSign(now time.Time) {
+	u.ownSign.Store(int64(now.Sub(u.registeredAt)))
+	u.recordAlive(now)
+}
+
+// recordAlive records that the upstream is alive, as calls of this instance or of others show.
+func (u *Upstream) recordAlive(now time.Time) {
 	u.lastSign.Store(int64(now.Sub(u.registeredAt)))
 }
 
+// LastSign returns the time of the last sign of life that this instance's calls got, zero if
+// there was none.
+func (u *Upstream) LastSign() time.Time {
+	after := time.Duration(u.ownSign.Load())
+	if after == 0 {
+		return time.Time{}
+	}
+	return u.registeredAt.Add(after)
+}
+
 // Alive reports whether the upstream gave a sign of life within the last
 // MaxSilence.
 func (u *Upstream) Alive(now time.Time) bool {
@@ -223,7 +240,7 @@
 // successful calls is a sign of life.
 func (u *Upstream) SetFleetCounts(now time.Time, calls, failures float64) {
 	if calls-failures > u.FleetCalls-u.FleetFailures {
-		u.RecordSign(now)
+		u.recordAlive(now)
 	}
 	u.FleetCalls, u.FleetFailures = calls, failures
 }
--- a/internal/core/quarantine/compatibility_test.go
+++ b/internal/core/quarantine/compatibility_test.go
@@ -20,6 +20,10 @@
 		"quarantined":     {partKey(keyQuarantined, "p"), 8025690239076757999},
 		"life buckets":    {partKey(keyLifeBuckets, "p").Offset(bucketOf("life")), 9630321657835896799},
 		"request buckets": {partKey(keyRequestBuckets, "p").Offset(bucketOf("request")), 18094037005939903665},
+		"ended lives":     {partKey(keyEnded, "p"), 16401377034585925635},
+		"withdrawn":       {partKey(keyWithdrawn, "p"), 9872271364125905983},
+		"life's sign":     {SignKey("life"), 315481851356051463},
+		"life's end":      {endKey("life"), 6818774895644762205},
 		"attributed life": {lifeKey("life"), 17161379939721808449},
 	} {
 		t.Run(name, func(t *testing.T) { is.New(t).Equal(c.key, c.want) })
--- a/internal/core/quarantine/fleet.go
+++ b/internal/core/quarantine/fleet.go
@@ -25,6 +25,10 @@
 	keyLives       = "lives"
 	keyAnswers     = "answers"
 	keyQuarantined = "quarantined"
+	// keyEnded is the number of lives that are known to have ended, and keyWithdrawn of the
+	// instances that have withdrawn the quarantine. Earlier builds have neither.
+	keyEnded     = "ended"
+	keyWithdrawn = "withdrawn"
 	// keyLifeBuckets and keyRequestBuckets are the keys of the first of the buckets of
 	// lives and requests.
 	keyLifeBuckets    = "life_buckets"
@@ -60,14 +64,23 @@
 		set(lostCallsKey, math.Round(t.calls.lost))
 		set(answeredCallsKey, math.Round(t.calls.answered))
 	}
+	for life := range t.ended {
+		set(endKey(life), 1)
+	}
+	for part := range t.withdrawn {
+		set(partKey(keyWithdrawn, part), 1)
+	}
 	for _, l := range t.losses {
-		if t.hasQuarantined(l) {
+		if !l.outlived && t.hasQuarantined(l) {
 			set(lifeKey(l.life), 1)
 		}
 	}
 	for _, part := range t.worstParts() {
 		own := t.tally()[part]
 		set(partKey(keyLives, part), float64(len(own.lives)))
+		if len(own.ended) > 0 {
+			set(partKey(keyEnded, part), float64(len(own.ended)))
+		}
 		if part.IsRequest() {
 			for life := range own.lives {
 				set(partKey(keyLifeBuckets, part).Offset(bucketOf(string(life))), 1)
@@ -93,6 +106,7 @@
 	parts := slices.Collect(maps.Keys(tallies))
 	slices.SortFunc(parts, func(a, b PartID) int {
 		return cmp.Or(
+			-compareBool(t.quarantined[a] != nil, t.quarantined[b] != nil),
 			cmp.Compare(len(tallies[b].lives), len(tallies[a].lives)),
 			tallies[b].latest.Compare(tallies[a].latest),
 			cmp.Compare(a, b),
@@ -109,15 +123,69 @@
 	t.tallies = nil
 	t.expire(now)
 	if t.fleet.hasEvidence() {
+		t.applySigns(now)
 		t.shareAnswers(now)
 		t.applyAnswers()
+		t.withdraw(now)
 		t.quarantineWorst(now)
+		t.confirm(now)
 	}
 	changes := t.changes
 	t.changes = nil
 	return changes
 }
 
+// applySigns applies what the others know of the lives on which this instance lost calls.
+func (t *Table) applySigns(now time.Time) {
+	for _, l := range t.losses {
+		if !l.ended && t.fleet.othersOf(endKey(l.life)) > 0 {
+			t.endLosses(now, l.life)
+		}
+	}
+	t.outlive(func(l loss) bool { return now.Sub(l.at) >= signDelay && t.fleet.othersOf(SignKey(l.life)) > 0 })
+}
+
+// withdraw releases the parts whose evidence no longer suffices, since lives have outlived
+// their losses. It does not where evidence is missing since others that had it are gone.
+func (t *Table) withdraw(now time.Time) {
+	for _, part := range slices.Sorted(maps.Keys(t.quarantined)) {
+		s := t.quarantined[part]
+		switch {
+		case t.lives(part) >= minLives:
+		case s.contradicted:
+			if t.withdrawn == nil {
+				t.withdrawn = map[PartID]time.Time{}
+			}
+			t.withdrawn[part] = now
+			t.release(part, true, ReleasedByLives)
+		case t.fleet.others(keyWithdrawn, part) > 0:
+			t.release(part, false, ReleasedByLives)
+		}
+	}
+}
+
+// isWithdrawn reports whether any instance has withdrawn the quarantine of the part, and there
+// is no new evidence for it.
+func (t *Table) isWithdrawn(part PartID) bool {
+	_, own := t.withdrawn[part]
+	return (own || t.fleet.others(keyWithdrawn, part) > 0) && t.lives(part) < minLives
+}
+
+// confirm has the quarantines stored on which this instance decided and that are not likely to
+// be withdrawn, so that none is restored that only lost answers brought about.
+func (t *Table) confirm(now time.Time) {
+	for _, part := range slices.Sorted(maps.Keys(t.quarantined)) {
+		s := t.quarantined[part]
+		if !s.decided || s.stored {
+			continue
+		}
+		if t.endedLives(part) >= confirmLives || now.Sub(s.since) >= confirmDelay {
+			s.stored = true
+			t.changes = append(t.changes, Change{Part: part, Decided: true, Confirmed: true, Lives: t.lives(part), Requests: t.requests(part)})
+		}
+	}
+}
+
 // shareAnswers tells the fleet of the parts that this instance saw an answer to and that
 // some instance lost requests with.
 func (t *Table) shareAnswers(now time.Time) {
@@ -153,7 +221,9 @@
 
 // expire removes what no longer counts.
 func (t *Table) expire(now time.Time) {
-	t.removeLosses(func(l loss) bool { return now.Sub(l.at) > lossMemory })
+	t.removeLosses(func(l loss) bool { return now.Sub(l.at) > lossMemory || l.outlived && now.Sub(l.at) > outlivedMemory })
+	maps.DeleteFunc(t.ended, func(_ Life, at time.Time) bool { return now.Sub(at) > endMemory })
+	maps.DeleteFunc(t.withdrawn, func(_ PartID, at time.Time) bool { return now.Sub(at) > withdrawalMemory })
 	for part := range t.sharedAnswers {
 		if now.Sub(t.answered[part]) >= answerMemory {
 			delete(t.sharedAnswers, part)
@@ -223,3 +293,24 @@
 func lifeKey(life Life) aggregates.Key {
 	return aggregates.NewExactKey("attributed_life", string(life))
 }
+
+// SignKey is the key of the number of instances to which a life gave a sign within SignWindow.
+func SignKey(life Life) aggregates.Key {
+	return aggregates.NewExactKey("life_sign", string(life))
+}
+
+// endKey is the key of the number of instances that have learned of the end of a life.
+func endKey(life Life) aggregates.Key {
+	return aggregates.NewExactKey("life_end", string(life))
+}
+
+// compareBool orders false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return 1
+	}
+	return -1
+}
--- /dev/null
+++ b/internal/core/quarantine/lives_test.go
@@ -0,0 +1,171 @@
+package quarantine
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// shareSigns gives all instances the sums in which another one has a sign of the lives.
+func (f *fleet) shareSigns(at time.Time, lives ...Life) []Change {
+	changes := f.share(at)
+	for i := range f.tables {
+		for _, life := range lives {
+			f.tables[i].fleet.totals[SignKey(life)] = 1
+		}
+		changes = append(changes, f.tables[i].ApplyTotals(at, f.tables[i].fleet.totals, f.tables[i].fleet.reported)...)
+	}
+	return changes
+}
+
+// loseAnswers records a lost answer with the part on each of three lives, at an instance each.
+func (f *fleet) loseAnswers(at time.Time, part PartID) {
+	for i := range 3 {
+		f.tables[i].RecordLoss(at, Life(strconv.Itoa(i)), "id"+strconv.Itoa(i), []PartID{part})
+	}
+	f.share(at)
+	f.share(at)
+}
+
+// TestLivesThatGoOnAreNoEvidence guards against sound parts and requests that stay refused since
+// upstreams lose answers and live on, and against bad ones that are released by what is no sign
+// of life.
+func TestLivesThatGoOnAreNoEvidence(t *testing.T) {
+	later := now.Add(signDelay)
+	for _, part := range []PartID{"part", bad} {
+		t.Run("a sign at another instance withdraws the verdict everywhere "+string(part), func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(4)
+			f.loseAnswers(now, part)
+			is.Equal(f.decisions(now, part), repeat(Refused, 4))
+			f.shareSigns(later, "1")
+			f.share(later)
+			f.share(later)
+			is.Equal(f.decisions(later, part)[0] != Refused, true)
+			is.Equal(f.decisions(later, part)[3] != Refused, true)
+			is.Equal(f.tables[2].Quarantined(), 0)
+		})
+		t.Run("a sign soon after the loss may be older "+string(part), func(t *testing.T) {
+			f := newFleet(4)
+			f.loseAnswers(now, part)
+			f.shareSigns(now.Add(signDelay/2), "0", "1", "2")
+			is.New(t).Equal(f.decisions(now.Add(signDelay/2), part), repeat(Refused, 4))
+		})
+		t.Run("nothing outlives an end "+string(part), func(t *testing.T) {
+			f := newFleet(4)
+			f.loseAnswers(now, part)
+			for _, life := range []Life{"0", "1", "2"} {
+				f.tables[3].RecordEnd(now, life)
+			}
+			f.share(now)
+			f.shareSigns(later, "0", "1", "2")
+			f.share(later)
+			is.New(t).Equal(f.tables[0].Quarantined()+f.tables[1].Quarantined()+f.tables[2].Quarantined(), 3)
+		})
+		t.Run("an end that is heard of after signs of the next process counts "+string(part), func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(4)
+			f.loseAnswers(now, part)
+			f.shareSigns(later, "0", "1", "2")
+			f.share(later)
+			is.Equal(f.tables[0].Quarantined(), 0)
+			for _, life := range []Life{"0", "1", "2"} {
+				for i := range f.tables {
+					f.tables[i].RecordEnd(later, life)
+				}
+			}
+			f.share(later)
+			f.share(later)
+			is.Equal(f.decisions(later, part), repeat(Refused, 4))
+		})
+		t.Run("evidence that is gone with its instances withdraws nothing "+string(part), func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(4)
+			f.loseAnswers(now, part)
+			is.Equal(f.decisions(now, part), repeat(Refused, 4))
+			f.tables[0], f.tables[1] = Table{}, Table{}
+			f.shareSigns(later)
+			f.share(later)
+			is.Equal(f.decisions(later, part), repeat(Refused, 4))
+		})
+	}
+	t.Run("events of calls that were sent before the loss are signs", func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(1)
+		for i := range 3 {
+			f.tables[0].RecordLoss(now, Life(strconv.Itoa(i)), strconv.Itoa(i), []PartID{"rare"})
+		}
+		is.Equal(f.decision(now, 0, "rare"), Refused)
+		f.tables[0].RecordSign("0", now.Add(signGrace/2))
+		f.share(now.Add(signGrace))
+		is.Equal(f.decision(now.Add(signGrace), 0, "rare"), Refused)
+		f.tables[0].RecordSign("0", now.Add(2*signGrace))
+		f.share(now.Add(2 * signGrace))
+		is.Equal(f.tables[0].Quarantined(), 0)
+	})
+}
+
+// TestOnlyConfirmedVerdictsAreStored guards against verdicts that outlive the fleet though only
+// lost answers brought them about, and against objects in the store that nobody removes.
+func TestOnlyConfirmedVerdictsAreStored(t *testing.T) {
+	confirmed := func(changes []Change) (count int) {
+		for _, change := range changes {
+			if change.Confirmed {
+				count++
+			}
+		}
+		return count
+	}
+	t.Run("at once if lives are known to have ended", func(t *testing.T) {
+		f := newFleet(1)
+		for i := range 3 {
+			f.tables[0].RecordLoss(now, Life(strconv.Itoa(i)), strconv.Itoa(i), []PartID{"bad"})
+			f.tables[0].RecordEnd(now, Life(strconv.Itoa(i)))
+		}
+		is.New(t).Equal(confirmed(f.share(now))+confirmed(f.share(now)), 1)
+	})
+	t.Run("else after a while, once", func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(1)
+		f.lose(now, 3, "bad")
+		is.Equal(confirmed(f.share(now)), 0)
+		is.Equal(confirmed(f.share(now.Add(confirmDelay))), 1)
+		is.Equal(confirmed(f.share(now.Add(confirmDelay))), 0)
+	})
+	t.Run("and removed by who stored it, wherever the answer was", func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(4)
+		f.lose(now, 3, "sound")
+		later := now.Add(confirmDelay)
+		f.share(later)
+		f.tables[3].RecordAnswer(later, "life", later, []PartID{"sound"})
+		stored := 0
+		for _, change := range append(f.share(later), f.share(later)...) {
+			if change.Released && change.Stored {
+				stored++
+			}
+		}
+		is.True(stored > 0)
+	})
+}
+
+// TestEndedLivesOutweighTheLossRate guards against a bad part that is found late, since the
+// calls that are lost beside it, and lost answers, make its losses look like chance.
+func TestEndedLivesOutweighTheLossRate(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(4)
+	for i := range 400 {
+		f.tables[i%4].RecordLoss(now, "another", "beside"+strconv.Itoa(i), []PartID{PartID("beside" + strconv.Itoa(i))})
+	}
+	f.lose(now, 4, "bad")
+	is.Equal(f.decisions(now, "bad"), repeat(Suspect, 4))
+	for i := range 4 {
+		f.tables[0].RecordEnd(now, Life("[bad]-"+strconv.Itoa(i)))
+	}
+	f.share(now)
+	f.share(now)
+	f.share(now)
+	is.Equal(f.decisions(now, "bad"), repeat(Refused, 4))
+}
--- a/internal/core/quarantine/quarantine.go
+++ b/internal/core/quarantine/quarantine.go
@@ -3,8 +3,9 @@
 //
 // The evidence is a call whose connection was lost before its answer got past its
 // beginning. The crash of an upstream loses all calls that run there, so each crash
-// is evidence against many parts, and an answer clears the parts of its prompt. A
-// part is quarantined once several requests with it were lost on several lives of
+// is evidence against many parts, and an answer clears the parts of its prompt. A loss
+// is no evidence any more once its upstream has given any instance a sign of life after
+// it: then only an answer was lost. A part is quarantined once several requests with it were lost on several lives of
 // upstreams without an answer in between. The counts are summed over the fleet.
 //
 // A request that its caller repeats is one more part, known by its content. It is
@@ -31,6 +32,10 @@
 	// sharedAnswers are the parts that this instance saw an answer to and that the fleet
 	// has losses of.
 	sharedAnswers map[PartID]bool
+	// withdrawn holds when this instance withdrew the quarantine of a part.
+	withdrawn map[PartID]time.Time
+	// ended holds when this instance learned of the end of a life.
+	ended map[Life]time.Time
 	// quarantined are the parts in quarantine, as far as this instance has met them.
 	quarantined map[PartID]*quarantineState
 	// changes are the changes of quarantined that ApplyTotals has not returned yet.
@@ -51,7 +56,9 @@
 
 // A tally holds the lives and requests of a part's losses at this instance.
 type tally struct {
-	lives    map[Life]bool
+	lives map[Life]bool
+	// ended are the lives that are known to have ended.
+	ended    map[Life]bool
 	requests map[string]bool
 	latest   time.Time
 }
@@ -62,6 +69,10 @@
 	life    Life
 	request string
 	parts   []PartID
+	// outlived is true if the life has given a sign after the loss, so that the loss counts
+	// no more. ended is true if the life is known to have ended, so that no sign that looks
+	// like its own counts.
+	outlived, ended bool
 }
 
 // A quarantineState is the state of a part in quarantine.
@@ -71,6 +82,12 @@
 	// that is in charge of the part. trialDelay is the wait after it.
 	nextTrial  time.Time
 	trialDelay time.Duration
+	// decided is true if this instance decided on the quarantine, stored once it has had it
+	// stored.
+	decided, stored bool
+	// contradicted is true once a life has outlived a loss of the part that this instance
+	// remembers.
+	contradicted bool
 }
 
 // A Decision is how to treat a request.
@@ -95,9 +112,13 @@
 	Reason ReleaseReason
 	// Decided is true if this instance decided on the change, and false if it follows
 	// others.
-	Decided  bool
-	Lives    float64
-	Requests float64
+	Decided bool
+	// Confirmed marks a later change, which says that nothing has contradicted the
+	// quarantine and that this instance, which decided on it, has to store it. Stored is
+	// true for the release of a part for which there was such a change.
+	Confirmed, Stored bool
+	Lives             float64
+	Requests          float64
 }
 
 // A ReleaseReason is why a part was released.
@@ -105,6 +126,8 @@
 
 // The reasons.
 const (
+	// ReleasedByLives is that upstreams live on which the part seemed to have ended.
+	ReleasedByLives ReleaseReason = "upstreams live on"
 	// ReleasedByAnswer is an answer to a request with the part, at this instance or another.
 	ReleasedByAnswer   ReleaseReason = "answered here"
 	ReleasedByPeer     ReleaseReason = "answered or released elsewhere"
@@ -114,6 +137,9 @@
 	ReleasedForRoom ReleaseReason = "too many parts"
 )
 
+// SignWindow is how long a sign of a life is told to the fleet.
+const SignWindow = 500 * time.Millisecond
+
 const (
 	// minLives and minRequests are the numbers of lives and of requests from which
 	// a part is quarantined. Several requests are needed because one request, sent
@@ -125,6 +151,9 @@
 	// reasons, more requests than minRequests are needed.
 	maxChance    = 0.001
 	callHalfLife = 10 * time.Second
+	// minEndedLives is the number of lives known to have ended from which a part is quarantined
+	// whatever else is lost: a bad part itself raises the rate of lost calls.
+	minEndedLives = 4
 	// priorLost and priorAnswered are added to the counts of recent calls, so that a
 	// fleet that has just started expects few losses.
 	priorLost     = 1
@@ -135,6 +164,27 @@
 	answerMemory = 15 * time.Second
 	// lossMemory is how long a loss counts.
 	lossMemory = 10 * time.Minute
+	// outlivedMemory is how long a loss is kept after which its life gave a sign.
+	outlivedMemory = 15 * time.Second
+	// signGrace is the time after a loss for which events of the same process may still be
+	// read, though it has ended: they wait in buffers, and for a small instance's processor.
+	signGrace = 300 * time.Millisecond
+	// signDelay is the time after a loss from which on the fleet's signs of the life count. A
+	// sign from before the end of a life is shared for SignWindow and takes up to a second
+	// through the tree.
+	signDelay = 2 * time.Second
+	// endDelay is how much later than a loss an instance may learn of the end of the life:
+	// entries come up to some seconds late.
+	endDelay = 6 * time.Second
+	// endMemory is how long an instance tells the fleet that a life has ended.
+	endMemory = 10 * time.Second
+	// confirmDelay is the time after which a quarantine that nothing has contradicted is
+	// stored, and confirmLives the number of lives known to have ended from which it is at once.
+	confirmDelay = 2500 * time.Millisecond
+	confirmLives = 2
+	// withdrawalMemory is how long an instance tells the fleet of a withdrawal: until all
+	// have heard of it and their own sums of the quarantine are gone.
+	withdrawalMemory = 4 * time.Second
 	// firstTrialDelay is the time in quarantine before the first trial.
 	// trialDelayFactor lengthens it after each trial.
 	firstTrialDelay  = time.Minute
@@ -155,7 +205,7 @@
 	}
 	for _, part := range parts {
 		s := t.quarantined[part]
-		if s == nil && t.fleet.isQuarantined(part) && !t.isAnswered(now, part) {
+		if s == nil && t.fleet.isQuarantined(part) && !t.isAnswered(now, part) && !t.isWithdrawn(part) {
 			s = t.quarantine(now, part, false)
 		}
 		switch {
@@ -170,12 +220,65 @@
 	return decision, decisive
 }
 
+// RecordSign records the latest sign of a life, at: an event or an answer of any call. The
+// losses before it were not its end, unless it is known to have ended.
+func (t *Table) RecordSign(life Life, at time.Time) {
+	t.outlive(func(l loss) bool { return l.life == life && at.Sub(l.at) > signGrace })
+}
+
+// WantsSigns reports whether this instance has losses that a sign of their lives would outlive.
+func (t *Table) WantsSigns() bool {
+	return slices.ContainsFunc(t.losses, func(l loss) bool { return !l.outlived && !l.ended })
+}
+
+// RecordEnd records that a life has ended: its upstream refuses connections, or is registered
+// as another process. A sign that followed a loss shortly before came from the next process.
+func (t *Table) RecordEnd(now time.Time, life Life) {
+	if !t.HasEvidence() {
+		return
+	}
+	if t.ended == nil {
+		t.ended = map[Life]time.Time{}
+	}
+	if _, known := t.ended[life]; !known && len(t.ended) < maxLosses {
+		t.ended[life] = now
+	}
+	t.endLosses(now, life)
+}
+
+// endLosses marks the losses on a life that has ended.
+func (t *Table) endLosses(now time.Time, life Life) {
+	for i, l := range t.losses {
+		if l.life == life && !l.ended && (!l.outlived || now.Sub(l.at) < endDelay) {
+			t.losses[i].ended, t.losses[i].outlived = true, false
+			t.tallies = nil
+		}
+	}
+}
+
+// outlive marks the losses that match as outlived, but for those on lives that have ended.
+func (t *Table) outlive(match func(loss) bool) {
+	for i, l := range t.losses {
+		if l.outlived || l.ended || !match(l) {
+			continue
+		}
+		t.losses[i].outlived = true
+		t.tallies = nil
+		for _, part := range l.parts {
+			if s := t.quarantined[part]; s != nil {
+				s.contradicted = true
+			}
+		}
+	}
+}
+
 // RecordLoss records a call that was lost before its answer got past its beginning.
 // It quarantines the parts for which that is the last evidence needed.
 func (t *Table) RecordLoss(now time.Time, life Life, request string, parts []PartID) {
 	t.calls.decay(now)
 	t.calls.lost++
 	l := loss{at: now, life: life, request: strings.Clone(request)}
+	_, l.ended = t.ended[life]
 	for _, part := range parts {
 		if part.IsRequest() {
 			l.request = string(part)
@@ -188,7 +291,8 @@
 		return
 	}
 	if len(t.losses) >= maxLosses {
-		t.losses = t.losses[1:]
+		dropped := max(0, slices.IndexFunc(t.losses, func(l loss) bool { return l.outlived }))
+		t.losses = slices.Delete(t.losses, dropped, dropped+1)
 	}
 	t.losses = append(t.losses, l)
 	t.tallies = nil
@@ -201,7 +305,7 @@
 func (t *Table) RecordAnswer(now time.Time, life Life, sentAt time.Time, parts []PartID) {
 	t.calls.decay(now)
 	t.calls.answered++
-	t.removeLosses(func(l loss) bool { return l.life == life && l.at.Before(sentAt) })
+	t.outlive(func(l loss) bool { return l.life == life && l.at.Before(sentAt) })
 	for _, part := range parts {
 		if part.IsRequest() && !t.isSuspected(part) {
 			continue
@@ -250,7 +354,7 @@
 		return
 	}
 	requests := t.requests(worst)
-	if requests >= minRequests && math.Pow(t.lossRate(now), requests) <= maxChance {
+	if requests >= minRequests && (t.endedLives(worst) >= minEndedLives || math.Pow(t.lossRate(now), requests) <= maxChance) {
 		t.quarantine(now, worst, true)
 	}
 }
@@ -306,7 +410,9 @@
 		t.dropOldest()
 	}
 	part = PartID(strings.Clone(string(part)))
-	s := &quarantineState{since: now, nextTrial: now.Add(firstTrialDelay), trialDelay: trialDelayFactor * firstTrialDelay}
+	s := &quarantineState{
+		since: now, nextTrial: now.Add(firstTrialDelay), trialDelay: trialDelayFactor * firstTrialDelay, decided: decided,
+	}
 	t.changes = append(t.changes, Change{Part: part, Decided: decided, Lives: t.lives(part), Requests: t.requests(part)})
 	t.quarantined[part] = s
 	t.tallies = nil
@@ -316,9 +422,11 @@
 // release takes a part out of quarantine. The instance that saw an answer to it, or else
 // the one in charge of it, decides.
 func (t *Table) release(part PartID, decided bool, reason ReleaseReason) {
+	// A part that is only forgotten for room stays in the store.
+	stored := t.quarantined[part].stored && reason != ReleasedForRoom
 	delete(t.quarantined, part)
 	t.tallies = nil
-	t.changes = append(t.changes, Change{Part: part, Released: true, Reason: reason, Decided: decided})
+	t.changes = append(t.changes, Change{Part: part, Released: true, Reason: reason, Decided: decided, Stored: stored})
 }
 
 // startTrial reports whether a request with a quarantined part may be sent now.
@@ -368,6 +476,16 @@
 	return t.fleet.countBuckets(partKey(keyLifeBuckets, part), &seen)
 }
 
+// endedLives returns the number of lives on which requests with the part were lost and that are
+// known to have ended.
+func (t *Table) endedLives(part PartID) float64 {
+	ended := t.fleet.others(keyEnded, part)
+	if own := t.tally()[part]; own != nil {
+		ended += float64(len(own.ended))
+	}
+	return ended
+}
+
 // requests returns the number of different requests with the part, over the fleet, that
 // were lost, at least.
 func (t *Table) requests(part PartID) float64 {
@@ -389,27 +507,41 @@
 	}
 	attributed := map[Life]bool{}
 	for _, l := range t.losses {
+		if l.outlived {
+			continue
+		}
 		if t.hasQuarantined(l) || t.fleet.isAttributed(l.life) {
 			attributed[l.life] = true
 		}
 	}
 	t.tallies = map[PartID]*tally{}
 	for _, l := range t.losses {
-		for _, part := range l.parts {
-			if attributed[l.life] && !part.IsRequest() && t.quarantined[part] == nil && !t.hasQuarantinedRequest(l) {
-				continue
-			}
-			own := t.tallies[part]
-			if own == nil {
-				own = &tally{lives: map[Life]bool{}, requests: map[string]bool{}}
-				t.tallies[part] = own
-			}
-			own.lives[l.life], own.requests[l.request], own.latest = true, true, l.at
+		if !l.outlived {
+			t.countLoss(l, attributed[l.life])
 		}
 	}
 	return t.tallies
 }
 
+// countLoss adds a loss to the counts of its parts. Attributed is true if the loss of a
+// quarantined part explains the end of the life.
+func (t *Table) countLoss(l loss, attributed bool) {
+	for _, part := range l.parts {
+		if attributed && !part.IsRequest() && t.quarantined[part] == nil && !t.hasQuarantinedRequest(l) {
+			continue
+		}
+		own := t.tallies[part]
+		if own == nil {
+			own = &tally{lives: map[Life]bool{}, ended: map[Life]bool{}, requests: map[string]bool{}}
+			t.tallies[part] = own
+		}
+		if l.ended {
+			own.ended[l.life] = true
+		}
+		own.lives[l.life], own.requests[l.request], own.latest = true, true, l.at
+	}
+}
+
 // hasQuarantined reports whether a quarantined part is among those of the loss.
 func (t *Table) hasQuarantined(l loss) bool {
 	for _, part := range l.parts {
--- a/internal/evaluation/loadsim/simulation.go
+++ b/internal/evaluation/loadsim/simulation.go
@@ -336,9 +336,9 @@
 func (s *simulation) storeChanges(changes []quarantine.Change) {
 	for _, change := range changes {
 		switch {
-		case change.Released && change.Decided:
+		case change.Released && (change.Decided || change.Stored):
 			delete(s.stored, change.Part)
-		case change.Decided:
+		case change.Confirmed:
 			s.stored[change.Part] = true
 		}
 	}
--- a/internal/instance/entry/tasks.go
+++ b/internal/instance/entry/tasks.go
@@ -209,10 +209,10 @@
 }
 
 // logQuarantineChanges logs the prompt parts that were quarantined or released, and
-// passes those on which this instance decided on to runQuarantine.
+// passes those to runQuarantine that this instance has to store or to remove.
 func (i *Instance) logQuarantineChanges() {
 	for _, change := range i.dispatcher.QuarantineChanges() {
-		if change.Decided {
+		if change.Confirmed || change.Released && (change.Decided || change.Stored) {
 			select {
 			case i.quarantineChanges <- change:
 			default:
--- a/internal/telemetry/events/changes.go
+++ b/internal/telemetry/events/changes.go
@@ -15,12 +15,20 @@
 	}
 }
 
-// LogQuarantine logs a part or request that was quarantined or released.
+// LogQuarantine logs a part or request that was quarantined or released. That a quarantine is
+// confirmed is only for the store.
 func LogQuarantine(logger *zap.Logger, change quarantine.Change) {
+	if change.Confirmed {
+		return
+	}
 	event := PartQuarantined
 	if change.Released {
 		event = PartReleased
 	}
-	event.Log(logger, zap.String("part", string(change.Part)), zap.String("reason", string(change.Reason)),
+	what := "prompt part"
+	if change.Part.IsRequest() {
+		what = "request"
+	}
+	event.Log(logger, zap.String("part", string(change.Part)), zap.String("what", what), zap.String("reason", string(change.Reason)),
 		zap.Float64("lost_requests", change.Requests), zap.Float64("upstream_lives", change.Lives))
 }
