Try a part again within seconds that has just enough evidence

Cause: the first trial of a quarantined part came after a minute, so that a sound part whose requests were on three lives that did end was refused that long.

Change: a part with evidence of exactly three lives has up to three prompt trials, 2, 6 and 18 s after the verdict. A bad part ends a fourth life with the first one and has no further prompt trial, so that it stays within five. Requests, which may end no more than three, and restored parts, of which nothing is known, have none. The trials after 60 s, 5 minutes and so on stay.

TestPromptTrials bounds what a bad part costs, and checks requests and restored parts.

--- a/internal/core/quarantine/lives_test.go
+++ b/internal/core/quarantine/lives_test.go
@@ -151,6 +151,44 @@
 	})
 }
 
+// TestPromptTrials guards against a sound part that was lost on lives that did end and stays
+// refused for a minute, and against trials that let a bad part end more than one more life.
+func TestPromptTrials(t *testing.T) {
+	t.Run("prompt trials end one more life at most", func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(4)
+		f.lose(now, 3, "bad")
+		f.decisions(now, "bad")
+		var trials []time.Duration
+		for at := time.Duration(0); at < time.Hour; at += time.Second {
+			for i, decision := range f.decisions(now.Add(at), "bad") {
+				if decision != Refused {
+					trials = append(trials, at)
+					id := "trial" + at.String()
+					f.tables[i].RecordLoss(now.Add(at), Life(id), id, []PartID{"bad"})
+				}
+			}
+			f.share(now.Add(at))
+			if at > 10*time.Second {
+				at += 9 * time.Second
+			}
+		}
+		is.Equal(len(trials) > 1, true)
+		is.Equal(trials[0], 2*time.Second)
+		is.True(trials[1] >= time.Minute)
+		is.True(len(trials) <= 4)
+	})
+	t.Run("requests and restored parts have none before a minute", func(t *testing.T) {
+		f := newFleet(1)
+		f.lose(now, 3, bad)
+		f.tables[0].Restore(now, []PartID{"restored"})
+		for at := time.Duration(0); at < time.Minute; at += time.Second {
+			is.New(t).Equal(f.decision(now.Add(at), 0, bad), Refused)
+			is.New(t).Equal(f.decision(now.Add(at), 0, "restored"), Refused)
+		}
+	})
+}
+
 // TestEndedLivesOutweighTheLossRate guards against a bad part that is found late, since the
 // calls that are lost beside it, and lost answers, make its losses look like chance.
 func TestEndedLivesOutweighTheLossRate(t *testing.T) {
--- a/internal/core/quarantine/quarantine.go
+++ b/internal/core/quarantine/quarantine.go
@@ -5,8 +5,9 @@
 // beginning. The crash of an upstream loses all calls that run there, so each crash
 // is evidence against many parts, and an answer clears the parts of its prompt. A loss
 // is no evidence any more once its upstream has given any instance a sign of life after
-// it: then only an answer was lost. A part is quarantined once several requests with it were lost on several lives of
-// upstreams without an answer in between. The counts are summed over the fleet.
+// it: then only an answer was lost. A part is quarantined once several requests with it
+// were lost on several lives of upstreams without an answer in between. The counts are
+// summed over the fleet.
 //
 // A request that its caller repeats is one more part, known by its content. It is
 // quarantined after several lives, whatever else is lost.
@@ -82,6 +83,9 @@
 	// that is in charge of the part. trialDelay is the wait after it.
 	nextTrial  time.Time
 	trialDelay time.Duration
+	// nextPromptTrial is when the next prompt trial may be sent, promptTrials their number.
+	nextPromptTrial time.Time
+	promptTrials    int
 	// decided is true if this instance decided on the quarantine, stored once it has had it
 	// stored.
 	decided, stored bool
@@ -189,6 +193,11 @@
 	// trialDelayFactor lengthens it after each trial.
 	firstTrialDelay  = time.Minute
 	trialDelayFactor = 4
+	// promptTrialDelay is the time in quarantine before the first of at most maxPromptTrials
+	// prompt trials. Each is promptTrialFactor times as late as the one before.
+	promptTrialDelay  = 2 * time.Second
+	promptTrialFactor = 3
+	maxPromptTrials   = 3
 	// quarantineTTL is how long a part that no request has stays in quarantine.
 	quarantineTTL = 48 * time.Hour
 	// The bounds of the memory that the table takes.
@@ -411,7 +420,8 @@
 	}
 	part = PartID(strings.Clone(string(part)))
 	s := &quarantineState{
-		since: now, nextTrial: now.Add(firstTrialDelay), trialDelay: trialDelayFactor * firstTrialDelay, decided: decided,
+		since: now, nextTrial: now.Add(firstTrialDelay), trialDelay: trialDelayFactor * firstTrialDelay,
+		nextPromptTrial: now.Add(promptTrialDelay), decided: decided,
 	}
 	t.changes = append(t.changes, Change{Part: part, Decided: decided, Lives: t.lives(part), Requests: t.requests(part)})
 	t.quarantined[part] = s
@@ -431,7 +441,15 @@
 
 // startTrial reports whether a request with a quarantined part may be sent now.
 func (t *Table) startTrial(now time.Time, part PartID, s *quarantineState) bool {
-	if now.Before(s.nextTrial) || !t.fleet.inCharge(part) {
+	if !t.fleet.inCharge(part) {
+		return false
+	}
+	if s.promptTrials < maxPromptTrials && !now.Before(s.nextPromptTrial) && now.Sub(s.since) < firstTrialDelay && t.allowsPromptTrial(part) {
+		s.promptTrials++
+		s.nextPromptTrial = s.since.Add(now.Sub(s.since) * promptTrialFactor)
+		return true
+	}
+	if now.Before(s.nextTrial) {
 		return false
 	}
 	s.nextTrial = now.Add(s.trialDelay)
@@ -445,6 +463,13 @@
 	for part, s := range t.quarantined {
 		if oldest == "" || s.since.Before(t.quarantined[oldest].since) {
 			oldest = part
+// allowsPromptTrial reports whether a part may have a trial before firstTrialDelay. One that has
+// just enough evidence may: it may have been unlucky, and one more life is within what a bad one
+// may cost. A request may cost no more than minLives, and nothing is known of a restored part.
+func (t *Table) allowsPromptTrial(part PartID) bool {
+	return !part.IsRequest() && t.lives(part) == minLives
+}
+
 		}
 	}
 	t.release(oldest, false, ReleasedForRoom)
