Clear prompt parts when answers get past their beginning, not at their ends

Cause: an answer cleared the parts of its prompt at the end of its call, which for long streams is up to 25 s after their second event.

Change: while the fleet has evidence, the first event after the first one records the call, and the next exchange of the sums clears its parts. Calls need no lock of the dispatcher for that, and the rate of lost calls still counts them once, at their ends.

--- a/internal/core/dispatch/dispatch.go
+++ b/internal/core/dispatch/dispatch.go
@@ -72,6 +72,7 @@
 	unresolved map[*placement.Upstream]unresolvedCalls
 	// quarantineChanges are the changes that QuarantineChanges has not returned yet.
 	quarantineChanges []quarantine.Change
+	beginnings        beginnings
 }
 
 // service is the state of one service.
--- a/internal/core/dispatch/evidence.go
+++ b/internal/core/dispatch/evidence.go
@@ -133,6 +133,7 @@
 		d.callers.Set(now, d.self, d.members)
 	}
 	d.recordSigns()
+	d.applyBeginnings(now)
 	d.quarantineChanges = append(d.quarantineChanges, d.quarantine.ApplyTotals(now, totals, reported)...)
 	var verdicts []Verdict
 	for _, s := range d.services {
--- a/internal/core/dispatch/task.go
+++ b/internal/core/dispatch/task.go
@@ -129,6 +129,10 @@
 	hasEvent bool
 	totalGap time.Duration
 	events   int
+	task     *Task
+	// begun is true once the call has been recorded in beginnings.
+	begun      bool
+	beginnings *beginnings
 }
 
 // A Result is how a call ended.
@@ -250,6 +254,8 @@
 		Pace:         u.Pace(now),
 		work:         1,
 		sentAt:       now,
+		task:         task,
+		beginnings:   &d.beginnings,
 	}
 	if owned {
 		// A late repeat is not worth a wait, but uses room that there is.
@@ -432,6 +438,7 @@
 	c.upstream.RecordSign(now)
 	c.totalGap += gap
 	c.events++
+	c.recordBeginning()
 }
 
 // EndCall records the result of a call. It must be called once for each call
--- a/internal/core/quarantine/quarantine.go
+++ b/internal/core/quarantine/quarantine.go
@@ -314,6 +314,12 @@
 func (t *Table) RecordAnswer(now time.Time, life Life, sentAt time.Time, parts []PartID) {
 	t.calls.decay(now)
 	t.calls.answered++
+	t.RecordBeginning(now, life, sentAt, parts)
+}
+
+// RecordBeginning records an answer that has got past its beginning and has not ended. It
+// clears what RecordAnswer clears.
+func (t *Table) RecordBeginning(now time.Time, life Life, sentAt time.Time, parts []PartID) {
 	t.outlive(func(l loss) bool { return l.life == life && l.at.Before(sentAt) })
 	for _, part := range parts {
 		if part.IsRequest() && !t.isSuspected(part) {
@@ -457,12 +463,6 @@
 	return true
 }
 
-// dropOldest drops the part that is longest in quarantine.
-func (t *Table) dropOldest() {
-	var oldest PartID
-	for part, s := range t.quarantined {
-		if oldest == "" || s.since.Before(t.quarantined[oldest].since) {
-			oldest = part
 // allowsPromptTrial reports whether a part may have a trial before firstTrialDelay. One that has
 // just enough evidence may: it may have been unlucky, and one more life is within what a bad one
 // may cost. A request may cost no more than minLives, and nothing is known of a restored part.
@@ -470,6 +470,12 @@
 	return !part.IsRequest() && t.lives(part) == minLives
 }
 
+// dropOldest drops the part that is longest in quarantine.
+func (t *Table) dropOldest() {
+	var oldest PartID
+	for part, s := range t.quarantined {
+		if oldest == "" || s.since.Before(t.quarantined[oldest].since) {
+			oldest = part
 		}
 	}
 	t.release(oldest, false, ReleasedForRoom)
