Count streams from before a rollout as those of the old version

A task that began before the rollout has the version that it ran on, and each version but the empty one counted as the target. The fault is older; longer streams in flight made it show now. The new test failed before.

--- a/internal/core/dispatch/evidence.go
+++ b/internal/core/dispatch/evidence.go
@@ -283,11 +283,17 @@
 		return
 	}
 	s.traffic.Reached++
-	if task.version != baselineVersion {
+	if s.ranOnTarget(task) {
 		s.traffic.TargetReached++
 	}
 }
 
+// ranOnTarget reports whether the task last ran on the target of the service's rollout. A task
+// from before the rollout has the version that it ran on, not baselineVersion.
+func (s *service) ranOnTarget(task *Task) bool {
+	return task.version == s.tracker.Target()
+}
+
 // recordCall adds a call to the evidence about its version.
 func (s *service) recordCall(task *Task, call *Call, result Result) {
 	if !s.tracker.InProgress() {
--- a/internal/core/dispatch/latencies.go
+++ b/internal/core/dispatch/latencies.go
@@ -70,7 +70,7 @@
 // observeLatency adds the latencies of an answer to the statistics, unless it
 // comes from the target of a rollout in progress.
 func (s *service) observeLatency(task *Task, call *Call) {
-	if task.version != baselineVersion && s.tracker.InProgress() {
+	if s.tracker.InProgress() && s.ranOnTarget(task) {
 		return
 	}
 	l := s.latencyStats(latencyKey{task.Request.Route.Class(), call.Model})
--- a/internal/core/dispatch/rollout_test.go
+++ b/internal/core/dispatch/rollout_test.go
@@ -231,3 +231,16 @@
 		}
 	}
 }
+
+// TestStreamsFromBeforeARolloutAreNotOnItsTarget guards against a good version that is not
+// completed in time, since the streams that ran when its rollout began count as its exposure.
+func TestStreamsFromBeforeARolloutAreNotOnItsTarget(t *testing.T) {
+	d := newDispatcher(append(newUpstreams("v1", 9), newUpstreams("v2", 2)...)...)
+	task := mustAdmit(t, d, newRoute(catalog.Streaming), "before")
+	call := mustNextCall(t, d, task)
+	d.SetRollouts(now, []catalog.Rollout{{Service: "llm", Target: "v2", Duration: time.Minute, Progress: catalog.Progress{State: catalog.InProgress}}}, 0)
+	d.EndCall(now, task, call, Served)
+	if traffic := d.services["llm"].traffic; traffic.Reached != 1 || traffic.TargetReached != 0 {
+		t.Errorf("traffic is %+v", traffic)
+	}
+}
