Let eight instances watch the upstreams, rollouts and evacuations for all

From 32 instances on, eight of them, spread evenly over the members, watch for all. They say by a sum over the fleet that the store answers them; the others hear of changes as peers, make one call in their turns of renewal, which find what all watches have missed, and watch themselves once fewer than four are left. The configuration is still watched by each instance: watchers that are lost all at once show after three seconds, which is too late for it.

--- a/internal/instance/entry/entry.go
+++ b/internal/instance/entry/entry.go
@@ -291,7 +291,7 @@
 		},
 		Key:               i.peerKey,
 		Seeds:             func() []string { return *i.seeds.Load() },
-		LocalValues:       i.dispatcher.Contribution,
+		LocalValues:       i.contribution,
 		OnTotals:          i.applyTotals,
 		CallInterval:      peerCallInterval,
 		InexactValueLimit: maxMessageValues,
--- a/internal/instance/entry/tasks.go
+++ b/internal/instance/entry/tasks.go
@@ -48,6 +48,9 @@
 	// evacuationRenewalShare is the share of the time for an evacuation after which a watch that
 	// missed it is renewed. The rest is for the way to the other instances.
 	evacuationRenewalShare = 0.5
+	// maxWatcherLoss is the time after which an instance that relied on watchers which were
+	// all lost at once has asked the store itself: aggregates.ValueTTL and a call.
+	maxWatcherLoss = aggregates.ValueTTL + time.Second
 	// processCheckInterval is the time between two checks of the clocks and the
 	// log, and between two updates of the gauges.
 	processCheckInterval = time.Second
@@ -85,6 +88,29 @@
 		i.evacuations = i.newCache(platform.KindEvacuations, i.applyEvacuations)
 		i.evacuations.RenewalFactor = storecache.RenewalFactorFor(time.Duration(evacuationRenewalShare * float64(limit)))
 	}
+	i.upstreams.Watchers, i.rollouts.Watchers = &storecache.Watchers{}, &storecache.Watchers{}
+	// The configuration has to be in force sooner than the loss of watchers may show, so each
+	// instance watches it.
+	if i.evacuations != nil && i.settings.Shared.EvacuationTime() > maxWatcherLoss {
+		i.evacuations.Watchers = &storecache.Watchers{}
+	}
+}
+
+// contribution returns this instance's part of the fleet's sums.
+func (i *Instance) contribution(now time.Time) aggregates.Values {
+	values := i.dispatcher.Contribution(now)
+	for _, c := range i.caches() {
+		if c.Watchers != nil && c.Watchers.Serves() && c.IsFollowing() {
+			values[watchersKey(c)] = 1
+		}
+	}
+	return values
+}
+
+// watchersKey is the key of the number of instances that watch the objects of a cache for the
+// fleet and that the store answers.
+func watchersKey(c *storecache.Cache) aggregates.Key {
+	return aggregates.NewExactKey("store_watchers", string(c.Kind))
 }
 
 func (i *Instance) newCache(kind platform.Kind, onChange func([]platform.Object, time.Duration)) *storecache.Cache {
@@ -191,6 +217,11 @@
 // instance, and logs the versions and prompt parts that they show to be bad.
 func (i *Instance) applyTotals(now time.Time, totals, reported aggregates.Values) {
 	position, count := i.node.FleetPosition()
+	for _, c := range i.caches() {
+		if c.Watchers != nil {
+			c.Watchers.Update(position, count, int(totals.Others(reported, watchersKey(c))))
+		}
+	}
 	i.dispatcher.SetFleetPosition(now, position, count)
 	i.dispatcher.SetMembers(i.settings.Instance, i.node.ActiveMembers())
 	for _, v := range i.dispatcher.ApplyTotals(now, totals, reported) {
--- a/internal/instance/storecache/storecache.go
+++ b/internal/instance/storecache/storecache.go
@@ -12,6 +12,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -59,12 +60,20 @@
 	// NotifyPeers is called after a change from the store, to notify the peers
 	// at once.
 	NotifyPeers func()
+	// Watchers tells whether others watch for this instance. If it is nil, each instance
+	// watches.
+	Watchers *Watchers
 
 	// watchPosition is the position from which to watch. If it is zero, the
 	// objects are listed first. Only Run uses it.
 	watchPosition platform.Position
 	// historyGoneAt is when the store last lacked the history of a watch. Only Run uses it.
 	historyGoneAt time.Time
+	// historyLost is true until the objects are listed after the store lacked the history. Only
+	// Run uses it.
+	historyLost bool
+	// following is true if the objects are known and the store has answered the latest call.
+	following atomic.Bool
 
 	mutex   sync.Mutex
 	objects map[string]platform.Object
@@ -125,7 +134,7 @@
 			c.recordStoreStatus(nil)
 			backoff = minBackoff
 		case errors.Is(err, platform.ErrHistoryGone):
-			c.watchPosition = platform.Position{}
+			c.watchPosition, c.historyLost = platform.Position{}, true
 			events.WatchHistoryExpired.Log(c.Log, zap.String("kind", string(c.Kind)))
 			if time.Since(c.historyGoneAt) < maxBackoff {
 				delay.Sleep(ctx, delay.WithJitter(maxBackoff/2))
@@ -195,6 +204,7 @@
 // listOrWatch makes one call to the store: a list if there is no revision to
 // watch from, otherwise a watch.
 func (c *Cache) listOrWatch(ctx context.Context) error {
+	isRenewal := c.awaitTurn(ctx)
 	started := time.Now()
 	if c.watchPosition.Era < c.Store.Era() {
 		c.watchPosition = platform.Position{}
@@ -204,12 +214,15 @@
 		if err != nil {
 			return trace.Wrap(err)
 		}
-		c.watchPosition = position
+		c.watchPosition, c.historyLost = position, false
 		c.applyList(objects, position, c.changeAge(started))
 		return nil
 	}
 	c.skipToPeers()
 	wait := c.watchWait(started)
+	if isRenewal {
+		wait = renewalWait
+	}
 	changes, position, err := c.Store.Watch(ctx, c.Kind, c.watchPosition, wait)
 	if err != nil {
 		if time.Since(started) >= wait {
@@ -219,7 +232,12 @@
 		return trace.Wrap(err)
 	}
 	c.watchPosition = later(c.watchPosition, position)
-	if c.applyChanges(changes, position, c.changeAge(started)) {
+	age := c.changeAge(started)
+	if isRenewal {
+		// Another instance has looked for missed changes since the last turn of this one.
+		age = min(age, c.slotLength())
+	}
+	if c.applyChanges(changes, position, age) {
 		delay.Sleep(ctx, c.batchDelay())
 	}
 	return nil
@@ -262,13 +280,18 @@
 	return started.Sub(c.lastResponseAt)
 }
 
-// watchWait returns how long a watch waits: until the next slot of the
-// instance. Slots are aligned to the wall clock, one instance after the other.
-// If the clocks of instances differ, renewals are only spread less evenly.
+// watchWait returns how long a watch waits: until the next slot of the instance.
 func (c *Cache) watchWait(now time.Time) time.Duration {
+	return min(c.untilSlot(now), maxWatchWait)
+}
+
+// untilSlot returns the time until the next slot of the instance. Slots are aligned to the wall
+// clock, one instance after the other. If the clocks of instances differ, renewals are only
+// spread less evenly.
+func (c *Cache) untilSlot(now time.Time) time.Duration {
 	position, count := c.FleetPosition()
 	slots := min(maxSlots, max(minSlots, count))
-	slotLength := watchRenewalInterval * time.Duration(max(1, c.RenewalFactor))
+	slotLength := c.slotLength()
 	cycle := time.Duration(slots) * slotLength
 	slotOffset := time.Duration(position%slots) * slotLength
 	sinceCycleStart := time.Duration(now.UnixNano()) % cycle
@@ -276,7 +299,12 @@
 	if wait < slotLength/2 {
 		wait += cycle
 	}
-	return min(wait, maxWatchWait)
+	return wait
+}
+
+// slotLength returns the time between two renewals of watches in the whole fleet.
+func (c *Cache) slotLength() time.Duration {
+	return watchRenewalInterval * time.Duration(max(1, c.RenewalFactor))
 }
 
 // applyList applies the result of a list, unless a peer's snapshot is newer.
@@ -415,6 +443,7 @@
 	if err == nil {
 		c.lastResponseAt = now
 	}
+	c.following.Store(err == nil && c.hasState)
 }
 
 // sortedObjects returns the objects sorted by name. The caller must hold the
