Check a configuration from the command line before it is sent

mimosayard check -config FILE prints one finding a line, in the order of the file, and ends with code 2 if there are errors. -against FILE adds the differences from the version in force, -strict takes warnings for errors.

The version in force is read from a file, which may be the store's whole object. An instance is not asked, since it would have to show credentials or hashes of them, and keys of low entropy can be guessed from hashes. The limits of the entry are exported for the comparison. max_body_bytes is not compared: its bound follows from the memory of each instance.

Measured: checkconfig.txtar and the tests of the packages touched pass, with -race too except those of instance/entry, which ran without.

--- a/internal/cli/commands/checkcmd.go
+++ b/internal/cli/commands/checkcmd.go
@@ -10,8 +10,8 @@
 func newCheckCmd() *command {
 	return &command{
 		name:    "check",
-		summary: "Check the two tables without a network.",
-		usage:   "-routes FILE -pools FILE [-json]",
+		summary: "Check the two tables, or a shared platform's configuration, without a network.",
+		usage:   "(-routes FILE -pools FILE | -config FILE [-against FILE] [-strict]) [-json]",
 		example: "mimosayard check -routes examples/sauna/routes.json -pools examples/sauna/pools.json",
 		run:     runCheckCmd,
 	}
@@ -84,10 +84,19 @@
 
 func runCheckCmd(i *invocation) error {
 	files := i.tableFlags()
+	config := i.configFlags()
 	asJSON := i.flags.Bool("json", false, "print JSON")
 	if err := i.parse(); err != nil {
 		return err
 	}
+	switch {
+	case config.file != "" && (files.routesFile != "" || files.poolsFile != ""):
+		return usageError("-config cannot be used with -routes or -pools")
+	case config.file != "":
+		return i.checkConfig(config, *asJSON)
+	case config.against != "" || config.strict:
+		return usageError("-against and -strict need -config")
+	}
 	err := files.load()
 	var validationErrors tables.ValidationErrors
 	if err != nil && !errors.As(err, &validationErrors) {
--- a/internal/cli/commands/commands.go
+++ b/internal/cli/commands/commands.go
@@ -48,9 +48,9 @@
 	ExitOK = 0
 	// ExitFailed means that the command failed.
 	ExitFailed = 1
-	// ExitUsage means that the command line, the settings or the tables are
-	// invalid. Nothing was done, unless apply wrote tables that the fleet then
-	// rejected.
+	// ExitUsage means that the command line, the settings, the tables or the
+	// configuration are invalid. Nothing was done, unless apply wrote tables that
+	// the fleet then rejected.
 	ExitUsage = 2
 	// ExitConflict means that someone else changed the tables, and that the
 	// conflicting table was not written.
@@ -148,7 +148,7 @@
 	for _, c := range allCommands() {
 		_, _ = fmt.Fprintf(w, "  %-10s %s\n", c.name, c.summary)
 	}
-	_, _ = fmt.Fprint(w, "\nmimosayard COMMAND -h tells more. Exit codes: 0 done, 1 failed, 2 mistake in the\ncommand line, settings or tables, 3 someone else changed the tables.\n")
+	_, _ = fmt.Fprint(w, "\nmimosayard COMMAND -h tells more. Exit codes: 0 done, 1 failed, 2 mistake in the\ncommand line, settings, tables or configuration, 3 someone else changed the tables.\n")
 }
 
 // signalContext returns a context that ends on SIGINT and SIGTERM.
--- a/internal/instance/entry/entry.go
+++ b/internal/instance/entry/entry.go
@@ -80,13 +80,14 @@
 }
 
 const (
-	// readHeaderTimeout is the timeout for reading a request header.
-	readHeaderTimeout = 10 * time.Second
-	// idleTimeout is longer than the idle timeout that any operator sets for
+	// ReadHeaderTimeout is the timeout for reading a request header.
+	ReadHeaderTimeout = 10 * time.Second
+	// IdleTimeout is longer than the idle timeout that any operator sets for
 	// the callers. Callers therefore close idle connections first, and no
 	// request arrives while the server closes its connection.
-	idleTimeout    = 10 * time.Minute
-	maxHeaderBytes = 64 << 10
+	IdleTimeout = 10 * time.Minute
+	// MaxHeaderBytes is the maximum size of a request header.
+	MaxHeaderBytes = 64 << 10
 	// memoryLimitShare is the share of the instance's memory to which the Go
 	// runtime's memory limit is set, so that the heap leaves room for sockets
 	// and stacks.
@@ -246,7 +247,7 @@
 const drainCheckInterval = 50 * time.Millisecond
 
 func (i *Instance) httpServer(handler http.Handler) *http.Server {
-	limits := sockets.Limits{ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
+	limits := sockets.Limits{ReadHeaderTimeout: ReadHeaderTimeout, IdleTimeout: IdleTimeout, MaxHeaderBytes: MaxHeaderBytes}
 	return sockets.NewServer(handler, limits, i.log)
 }
 
