--- a/internal/core/configcheck/configcheck.go
+++ b/internal/core/configcheck/configcheck.go
@@ -263,7 +263,8 @@
 			continue
 		}
 		if service.Engine == nil {
-			x.errorf(FieldModels, "service %q has no engine", service.Name)
+			// The store accepts such a split, so it is no error.
+			x.warnf(FieldModels, "service %q has no engine, so it runs none of them", service.Name)
 			continue
 		}
 		for _, model := range route.Models {
