Send nothing before the evacuations are known, for up to 6 s

Instances that all started anew during an evacuation, while the store did not list the evacuations, were ready and sent requests to the evacuated data centre.

--- a/internal/edge/ingress/ingress.go
+++ b/internal/edge/ingress/ingress.go
@@ -41,6 +41,9 @@
 	// SinceShutdown returns the time since the instance began to shut down,
 	// zero if it has not.
 	SinceShutdown func() time.Duration
+	// MaySend reports whether requests may be sent to upstreams. Until it does, requests are
+	// refused as NotReady. It may be nil.
+	MaySend func() bool
 	// AcceptWindow is the time after the start of shutdown during which new
 	// requests are still accepted.
 	AcceptWindow time.Duration
@@ -110,8 +113,8 @@
 	// to other instances.
 	balancerWindow = 2800 * time.Millisecond
 	// notReadyRetryAfter is the Retry-After of an instance without a
-	// configuration. Loading one takes a few store calls of some milliseconds
-	// each.
+	// configuration or the evacuations. Loading them takes a few store calls of
+	// some milliseconds each.
 	notReadyRetryAfter = 250 * time.Millisecond
 	// shuttingDownRetryAfter is the Retry-After of an instance that is shutting
 	// down. It is short, since another instance handles the retry.
@@ -191,6 +194,13 @@
 	return s.SinceShutdown() > min(balancerWindow, s.AcceptWindow)
 }
 
+// notReadyFault returns the fault for a request that came before the instance knows what it needs.
+func notReadyFault(detail string) *faults.Error {
+	fault := faults.New(faults.NotReady, detail)
+	fault.RetryAfter = notReadyRetryAfter
+	return fault
+}
+
 // shuttingDownFault returns the fault for a request that has not run here.
 func shuttingDownFault() *faults.Error {
 	fault := faults.New(faults.ShuttingDown, "")
@@ -208,10 +218,11 @@
 // authenticates the team.
 func (x *exchange) resolveRoute() error {
 	x.index = x.server.Dispatcher.Index()
-	if x.index == nil {
-		fault := faults.New(faults.NotReady, "")
-		fault.RetryAfter = notReadyRetryAfter
-		return fault
+	switch {
+	case x.index == nil:
+		return notReadyFault("")
+	case x.server.MaySend != nil && !x.server.MaySend():
+		return notReadyFault("the evacuations are not known yet")
 	}
 	limits := x.index.Catalog.Limits
 	if limits.HeaderBytes > 0 && headerSize(x.request) > limits.HeaderBytes {
--- a/internal/instance/entry/entry.go
+++ b/internal/instance/entry/entry.go
@@ -54,10 +54,12 @@
 	rollouts     *storecache.Cache
 	// evacuations is nil if the settings do not have evacuations read.
 	evacuations *storecache.Cache
-	node        *peers.Node
-	metrics     *metrics.Recorder
-	ingress     *ingress.Server
-	dialer      *connect.Dialer
+	// evacuationsKnown is true once the evacuations are in force as the store or a peer has them.
+	evacuationsKnown atomic.Bool
+	node             *peers.Node
+	metrics          *metrics.Recorder
+	ingress          *ingress.Server
+	dialer           *connect.Dialer
 	// budget and connections bound what callers take of the process.
 	budget      *budget.Budget
 	connections budget.Connections
@@ -107,6 +109,10 @@
 	// peers. Upstreams read most prompts in less than a second, so older loads
 	// tell little, and each level of the tree adds an interval.
 	peerCallInterval = 100 * time.Millisecond
+	// maxEvacuationsWait is the time after the start for which an instance that does not know the
+	// evacuations stays out of service. An unstable store may extend the time within which an
+	// evacuation is in force by as much, and an outage must not keep the fleet out of service.
+	maxEvacuationsWait = 6 * time.Second
 	// storeDialTimeout is the timeout for connecting to the store.
 	storeDialTimeout = time.Second
 )
@@ -149,6 +155,7 @@
 		Metrics:         i.metrics,
 		Log:             i.log,
 		SinceShutdown:   i.sinceShutdown,
+		MaySend:         i.maySend,
 		AcceptWindow:    time.Duration(acceptWindowShare * float64(s.Shared.StopGrace.Duration())),
 		DrainWindow:     s.Shared.StopGrace.Duration() - shutdownReserve,
 	}
@@ -324,12 +331,20 @@
 		return errors.New("stopping")
 	case i.dispatcher.Index() == nil:
 		return errors.New("no configuration yet")
+	case !i.maySend():
+		return errors.New("no evacuations yet")
 	case i.dispatcher.UsableUpstreamCount() == 0:
 		return errors.New("no upstream is known")
 	}
 	return nil
 }
 
+// maySend reports whether the instance may send requests to upstreams: it knows which data centres
+// are evacuated, or has waited for that long enough.
+func (i *Instance) maySend() bool {
+	return i.evacuations == nil || i.evacuationsKnown.Load() || time.Since(i.started) > maxEvacuationsWait
+}
+
 // sinceShutdown returns the time since the shutdown began. It is zero before
 // the shutdown and positive after its start.
 func (i *Instance) sinceShutdown() time.Duration {
--- a/internal/instance/entry/evacuation_test.go
+++ b/internal/instance/entry/evacuation_test.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -96,3 +98,63 @@
 	}
 	f.await("the evacuations have ended", func() bool { return f.evacuated() && f.allServe("/safe/x") })
 }
+
+// startWithoutEvacuations starts a fleet of one, where dc-1 is evacuated and the store refuses to
+// list the evacuations until refused is false. The instance knows all else.
+func startWithoutEvacuations(t *testing.T, started time.Time) (f *testFleet, refused *atomic.Bool) {
+	t.Helper()
+	f = newTestFleetWithSettings(t, 0, 2, settings.SharedPlatform{StopGrace: 2, EvacuateMS: float64(evacuationBound.Milliseconds())})
+	f.putObject("servers", "i-1", fmt.Sprintf(`{"service":"s","address":%q,"zone":"dc-1","version":"v1","slots":64,"state":"ready","born":7,"sequence":2}`,
+		f.upstreams[1].Listener.Addr()))
+	f.putObject("evacuations", "dc-1", `{}`)
+	refused = &atomic.Bool{}
+	refused.Store(true)
+	handler := f.store.Config.Handler
+	f.store = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
+		if refused.Load() && strings.Contains(request.URL.Path, string(platform.KindEvacuations)) {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		handler.ServeHTTP(w, request)
+	}))
+	t.Cleanup(f.store.CloseClientConnections)
+	i := f.newInstance(0)
+	i.started = started
+	ctx, cancel := context.WithCancel(context.Background())
+	i.stop = cancel
+	ended := make(chan error, 1)
+	go func() { ended <- i.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		<-ended
+	})
+	f.instances = append(f.instances, i)
+	f.await("the instance knows the configuration and the upstreams", func() bool {
+		return i.dispatcher.Index() != nil && i.dispatcher.UsableUpstreamCount() == 2 && f.status(0, http.MethodGet, "/safe/x") > 0
+	})
+	return f, refused
+}
+
+// TestInstanceWaitsForTheEvacuations guards against calls to an evacuated data centre after all
+// instances have started anew, while the store does not list the evacuations.
+func TestInstanceWaitsForTheEvacuations(t *testing.T) {
+	is := is.New(t)
+	f, refused := startWithoutEvacuations(t, time.Now())
+	is.True(f.instances[0].checkReady() != nil)
+	for range 20 {
+		is.Equal(f.status(0, http.MethodGet, "/safe/x"), http.StatusServiceUnavailable)
+	}
+	refused.Store(false)
+	f.await("the instance serves", func() bool { return f.status(0, http.MethodGet, "/safe/x") == http.StatusOK })
+	is.NoErr(f.instances[0].checkReady())
+	is.True(f.evacuated("dc-1"))
+	is.Equal(f.standIns[1].ArrivalsSince(time.Time{}), 0)
+}
+
+// TestInstanceServesWithoutTheEvacuations guards against a fleet that stays out of service as long
+// as the store does not list the evacuations.
+func TestInstanceServesWithoutTheEvacuations(t *testing.T) {
+	f, _ := startWithoutEvacuations(t, time.Now().Add(-maxEvacuationsWait))
+	is.New(t).NoErr(f.instances[0].checkReady())
+	is.New(t).Equal(f.status(0, http.MethodGet, "/safe/x"), http.StatusOK)
+}
--- a/internal/instance/entry/tasks.go
+++ b/internal/instance/entry/tasks.go
@@ -395,6 +395,7 @@
 			reportedDrops = count
 		}
 		callersRoom.Report()
+		i.logFirstReady()
 		i.metrics.SetGauge("store_calls", float64(i.store.Calls()))
 		i.metrics.SetGauge("in_flight", float64(i.ingress.InFlight()))
 		i.metrics.SetGauge("relays", float64(i.node.Relays()))
@@ -412,7 +413,7 @@
 
 // logFirstReady logs, at most once, that the instance is ready.
 func (i *Instance) logFirstReady() {
-	if i.checkReady() == nil && i.readyLogged.CompareAndSwap(false, true) {
+	if !i.readyLogged.Load() && i.checkReady() == nil && i.readyLogged.CompareAndSwap(false, true) {
 		events.InstanceReady.Log(i.log, zap.Duration("after", time.Since(i.started)),
 			zap.Int("upstreams", i.dispatcher.UsableUpstreamCount()))
 	}
--- a/internal/instance/entry/warmup.go
+++ b/internal/instance/entry/warmup.go
@@ -25,6 +25,8 @@
 func (i *Instance) applyEvacuations(objects []platform.Object, _ time.Duration) {
 	dataCenters := decodeAll(i.log, platform.KindEvacuations, objects, platform.DecodeEvacuation)
 	begun, ended := i.dispatcher.SetEvacuations(time.Now(), dataCenters)
+	i.evacuationsKnown.Store(true)
+	defer i.logFirstReady()
 	for _, dataCenter := range begun {
 		events.EvacuationBegun.Log(i.log, zap.String("data_center", string(dataCenter)))
 	}
