Report no upstream as cold because of the instance's own cut links

An instance with some cut links reported the upstreams behind them as cold, and the whole fleet limited its calls to them. Losses over a lost link no longer count. A failed connection is reported after a second one in a row; a refused connection and a lost call are reported at once. TellCold and toldUntil, which change with this, are renamed to RecordPeerReports and unreportedUntil.

--- a/internal/core/dispatch/task.go
+++ b/internal/core/dispatch/task.go
@@ -122,6 +122,8 @@
 	reservation *placement.Reservation
 	// through is the peer that carries the connection, empty for a direct one.
 	through tables.InstanceID
+	// connectionRefused is true if no process listened at the upstream's address.
+	connectionRefused bool
 	// startLatency is the wait for the start of the answer.
 	startLatency time.Duration
 	// hasEvent is true once the answer had an event. totalGap is the sum of the gaps
@@ -327,6 +329,11 @@
 	call.reservation.MarkSent(now)
 }
 
+// MarkConnectionRefused records that no process listened at the upstream's address.
+func (c *Call) MarkConnectionRefused() {
+	c.connectionRefused = true
+}
+
 // Started reports whether the answer has started.
 func (c *Call) Started() bool {
 	return c.started
@@ -469,7 +476,7 @@
 		u.RecordFailure(now, false)
 	case Broken, Unreachable:
 		u.RecordFailure(now, true)
-		d.recordLoss(now, call)
+		d.recordLoss(now, call, result)
 	case Mismatched, TimedOut:
 		u.RecordFailure(now, true)
 	case Refused:
--- a/internal/core/dispatch/warmup.go
+++ b/internal/core/dispatch/warmup.go
@@ -6,6 +6,7 @@
 
 	"mimosayard/internal/core/aggregates"
 	"mimosayard/internal/core/catalog"
+	"mimosayard/internal/core/links"
 	"mimosayard/internal/core/pacing"
 	"mimosayard/internal/core/placement"
 	"mimosayard/internal/core/tables"
@@ -118,21 +119,30 @@
 }
 
 // recordLoss presumes that the upstream of a call that was lost or did not reach it comes back
-// cold.
-func (d *Dispatcher) recordLoss(now time.Time, call *Call) {
+// cold, unless this instance's own link is lost. A peer that carries the connection tells such a
+// loss from one of the upstream.
+func (d *Dispatcher) recordLoss(now time.Time, call *Call, result Result) {
+	if call.through == "" && d.links.Lost(now, links.Address(call.Upstream.Address)) {
+		return
+	}
 	s := d.service(call.upstream.Service)
 	if d.warmUpBounds(s) == nil || !slices.Contains(s.upstreams, call.upstream) {
 		// The next life is presumed cold by its entry.
 		return
 	}
-	call.upstream.RecordLoss(now)
+	call.upstream.RecordLoss(now, result == Broken || call.connectionRefused)
 	d.updateWarmUp(now, s, call.upstream)
 }
 
 // contributeWarmUp adds this instance's part of what the fleet has seen of an upstream. An
-// instance whose own links are lost is no witness.
+// instance whose own links are lost, or whose link to the upstream is, contributes nothing, since
+// it cannot tell such a loss from a crash.
 func (d *Dispatcher) contributeWarmUp(now time.Time, u *placement.Upstream, set func(key aggregates.Key, value float64)) {
-	if !u.MayBeCold() || d.links.AllLost() {
+	if !u.MayBeCold() {
+		return
+	}
+	if d.links.AllLost() || d.links.Lost(now, links.Address(u.Address)) {
+		u.DiscountFailedConnections()
 		return
 	}
 	cold, reached := u.SeenCold(now)
@@ -151,7 +161,7 @@
 	if totals[anyColdKey] > 0 {
 		cold := totals.Others(reported, coldKey(valueCold, u)) > 0
 		reached := totals.Others(reported, coldKey(valueReached, u)) > 0
-		u.TellCold(now, cold, reached)
+		u.RecordPeerReports(now, cold, reached)
 	}
 	d.updateWarmUp(now, s, u)
 }
--- a/internal/core/dispatch/warmup_test.go
+++ b/internal/core/dispatch/warmup_test.go
@@ -14,6 +14,7 @@
 
 	"mimosayard/internal/core/aggregates"
 	"mimosayard/internal/core/catalog"
+	"mimosayard/internal/core/links"
 	"mimosayard/internal/core/pacing"
 	"mimosayard/internal/core/retries"
 	"mimosayard/internal/core/tables"
@@ -429,3 +430,75 @@
 	is.True(acquire() != nil)
 	is.Equal(opened, 2)
 }
+
+// TestCutLinksReportNoColdUpstream guards against a fleet that presumes sound upstreams cold, since
+// some links of one instance are cut, and against crashes that are reported late.
+func TestCutLinksReportNoColdUpstream(t *testing.T) {
+	fails := func(result Result, refused bool) func(d *Dispatcher, task *Task, call *Call) {
+		return func(d *Dispatcher, task *Task, call *Call) {
+			if refused {
+				call.MarkConnectionRefused()
+			}
+			d.EndCall(now, task, call, result)
+		}
+	}
+	cut := func(d *Dispatcher) {
+		address := links.Address("a")
+		for _, other := range []links.Address{"b", "c"} {
+			d.Links().RecordSuccess(now, other)
+		}
+		d.Links().RecordFailure(now, address)
+		d.Links().RecordFailure(now, address)
+		d.Links().RecordRelayed(now.Add(time.Nanosecond), address, true)
+	}
+	unreachable := fails(Unreachable, false)
+	for name, c := range map[string]struct {
+		before          func(d *Dispatcher)
+		ends            []func(d *Dispatcher, task *Task, call *Call)
+		after           func(d *Dispatcher)
+		presumed, tells bool
+	}{
+		"a failed connection":         {ends: []func(*Dispatcher, *Task, *Call){unreachable}, presumed: true},
+		"two in a row":                {ends: []func(*Dispatcher, *Task, *Call){unreachable, unreachable}, presumed: true, tells: true},
+		"a refused connection":        {ends: []func(*Dispatcher, *Task, *Call){fails(Unreachable, true)}, presumed: true, tells: true},
+		"a lost call":                 {ends: []func(*Dispatcher, *Task, *Call){fails(Broken, false)}, presumed: true, tells: true},
+		"the link was lost before":    {before: cut, ends: []func(*Dispatcher, *Task, *Call){unreachable, unreachable}},
+		"the link is lost afterwards": {ends: []func(*Dispatcher, *Task, *Call){unreachable, unreachable}, after: cut, presumed: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			d := New("here", Limits{Cold: pacing.ColdBound{Overshoot: 1.5, Allowance: 5}}, rand.New(rand.NewPCG(1, 2)))
+			d.SetCatalog(&catalog.Catalog{Version: 1, Services: []catalog.Service{{Name: "svc", ColdStart: coldStart, ColdRate: coldRate}}})
+			d.SetUpstreams(now, []catalog.Upstream{{ID: "u", Service: "svc", Address: "a", Version: "v1", Slots: 9, Ready: true}})
+			type attempt struct {
+				task *Task
+				call *Call
+			}
+			var attempts []attempt
+			for n := range c.ends {
+				task := mustAdmit(t, d, &catalog.Route{Name: "r", Kind: catalog.Safe, MaxAttempts: 3, Timeout: time.Minute, Split: []catalog.Share{{Service: "svc", Weight: 1}}}, strconv.Itoa(n))
+				attempts = append(attempts, attempt{task, mustNextCall(t, d, task)})
+			}
+			if c.before != nil {
+				c.before(d)
+			}
+			for n, end := range c.ends {
+				end(d, attempts[n].task, attempts[n].call)
+			}
+			if c.after != nil {
+				c.after(d)
+			}
+			is.Equal(d.ColdUpstreams(now) == 1, c.presumed)
+			later := now.Add(time.Millisecond)
+			tells := func(at time.Time) bool {
+				return d.Contribution(at)[aggregates.NewExactKey("cold", "cold", "u")] > 0
+			}
+			is.Equal(tells(later), c.tells)
+			// Once the upstream is reached, it is presumed cold for as long as before, and told alike.
+			d.Links().RecordSuccess(later.Add(time.Millisecond), "a")
+			d.RecordConnected(later.Add(time.Millisecond), attempts[0].call, "")
+			is.Equal(d.ColdUpstreams(later.Add(coldStart/2)) == 1, c.presumed)
+			is.Equal(tells(later.Add(coldStart/2)), c.tells)
+		})
+	}
+}
--- a/internal/core/placement/warmup.go
+++ b/internal/core/placement/warmup.go
@@ -19,8 +19,13 @@
 	// lostAt is when this instance last lost a call or could not connect, zero once the upstream
 	// was reached since, by this instance or another. It may come back later, and cold.
 	lostAt time.Time
-	// toldUntil is until when the upstream is presumed cold because other instances do.
-	toldUntil time.Time
+	// lossCertain is true if a call was lost or the connection refused at lostAt or before.
+	// failedConnections counts the other failures to connect since the upstream was last reached.
+	lossCertain       bool
+	failedConnections int
+	// unreportedUntil is until when the upstream is presumed cold for what is not reported to other
+	// instances: their own reports, or a loss that is not certain.
+	unreportedUntil time.Time
 	// connectedAt is when this instance last connected to the upstream while it was cold.
 	connectedAt time.Time
 	// credit is what this instance may send, by the callers of a generation.
@@ -50,9 +55,12 @@
 	// maxLossTime is how long after its last loss an upstream that nobody reaches is presumed to
 	// come back cold. If it does so later, the others' next losses or its entry tell.
 	maxLossTime = 30 * time.Second
-	// toldTime is how long another instance's presumption counts after it was last told. Sums
+	// peerReportTTL is how long another instance's presumption counts after its last report. Sums
 	// arrive several times a second.
-	toldTime = time.Second
+	peerReportTTL = time.Second
+	// minFailedConnections is the number of failed connections in a row that are reported to other
+	// instances. A single one may be due to the instance's own link.
+	minFailedConnections = 2
 	// reachedTime is how long an instance tells the others that it has reached an upstream.
 	reachedTime = 2 * time.Second
 	// minAwaitTime is the time after a loss in which the news that another instance has reached
@@ -77,17 +85,32 @@
 		// The answer may be of the life that ended.
 		return
 	}
-	w.until, w.lostAt = time.Time{}, time.Time{}
+	w.until = time.Time{}
+	w.clearLoss()
 	if wait > 0 {
 		w.until = now.Add(wait)
 		w.note(now, ColdByAnswer)
 	}
 }
 
-// RecordLoss presumes that the upstream has crashed and comes back cold.
-func (u *Upstream) RecordLoss(now time.Time) {
-	u.warmUp.lostAt = now
-	u.warmUp.note(now, ColdByLoss)
+// RecordLoss presumes that the upstream has crashed and comes back cold. The loss is certain if a
+// call was lost or the connection refused. Other failed connections are reported to other instances
+// only if several follow each other.
+func (u *Upstream) RecordLoss(now time.Time, certain bool) {
+	w := &u.warmUp
+	w.lostAt = now
+	if certain {
+		w.lossCertain = true
+	} else {
+		w.failedConnections++
+	}
+	w.note(now, ColdByLoss)
+}
+
+// DiscountFailedConnections discounts the failed connections so far, since this instance's own link
+// to the upstream is lost.
+func (u *Upstream) DiscountFailedConnections() {
+	u.warmUp.failedConnections = 0
 }
 
 // RecordConnected records that a call has reached the upstream. If it was lost before, it is cold
@@ -100,18 +123,18 @@
 }
 
 // SeenCold reports whether this instance presumes that the upstream is cold by what it has seen
-// itself, and whether it has reached it lately.
+// itself and reports to others, and whether it has reached it lately.
 func (u *Upstream) SeenCold(now time.Time) (cold, reached bool) {
 	w := &u.warmUp
-	return w.seen(now), !w.connectedAt.IsZero() && now.Sub(w.connectedAt) < reachedTime
+	return now.Before(w.until) || w.lost(now) && w.reportsLoss(), !w.connectedAt.IsZero() && now.Sub(w.connectedAt) < reachedTime
 }
 
-// TellCold records what other instances have seen: whether the upstream is cold, and whether one
-// has reached it.
-func (u *Upstream) TellCold(now time.Time, cold, reached bool) {
+// RecordPeerReports records what other instances have seen: whether the upstream is cold, and
+// whether one has reached it.
+func (u *Upstream) RecordPeerReports(now time.Time, cold, reached bool) {
 	w := &u.warmUp
 	if cold {
-		w.toldUntil = now.Add(toldTime)
+		w.presumeUnreported(now.Add(peerReportTTL))
 		if !w.seen(now) {
 			w.note(now, ColdByPeers)
 		}
@@ -134,7 +157,7 @@
 // MayBeCold reports whether anything is known by which the upstream may be cold.
 func (u *Upstream) MayBeCold() bool {
 	w := &u.warmUp
-	return w.limited || !w.until.IsZero() || !w.lostAt.IsZero() || !w.toldUntil.IsZero()
+	return w.limited || !w.until.IsZero() || !w.lostAt.IsZero() || !w.unreportedUntil.IsZero()
 }
 
 // UpdateWarmUp limits the calls to the upstream if it is cold and ends the limit if it is not. The
@@ -211,19 +234,44 @@
 	if w.lostAt.IsZero() {
 		return
 	}
-	w.lostAt = time.Time{}
-	if until := now.Add(w.duration); until.After(w.until) {
+	until := now.Add(w.duration)
+	if !w.reportsLoss() {
+		w.presumeUnreported(until)
+	} else if until.After(w.until) {
 		w.until = until
 	}
+	w.clearLoss()
+}
+
+// presumeUnreported presumes until a time that the upstream is cold, and does not report it.
+func (w *warmUp) presumeUnreported(until time.Time) {
+	if until.After(w.unreportedUntil) {
+		w.unreportedUntil = until
+	}
+}
+
+// reportsLoss reports whether the last loss is reported to other instances.
+func (w *warmUp) reportsLoss() bool {
+	return w.lossCertain || w.failedConnections >= minFailedConnections
+}
+
+// clearLoss ends the wait for an upstream that was lost.
+func (w *warmUp) clearLoss() {
+	w.lostAt, w.lossCertain, w.failedConnections = time.Time{}, false, 0
+}
+
+// lost reports whether the upstream was lost and may come back cold.
+func (w *warmUp) lost(now time.Time) bool {
+	return !w.lostAt.IsZero() && now.Sub(w.lostAt) < maxLossTime
 }
 
 // seen reports whether the upstream is cold by what this instance has seen.
 func (w *warmUp) seen(now time.Time) bool {
-	return now.Before(w.until) || !w.lostAt.IsZero() && now.Sub(w.lostAt) < maxLossTime
+	return now.Before(w.until) || w.lost(now)
 }
 
 func (w *warmUp) cold(now time.Time) bool {
-	return w.seen(now) || now.Before(w.toldUntil)
+	return w.seen(now) || now.Before(w.unreportedUntil)
 }
 
 // allows reports whether one more call is within the limit of a cold upstream.
@@ -242,8 +290,8 @@
 	switch {
 	case !w.lostAt.IsZero():
 		return at
-	case w.toldUntil.After(warm):
-		warm = w.toldUntil
+	case w.unreportedUntil.After(warm):
+		warm = w.unreportedUntil
 	}
 	if at.IsZero() || warm.Before(at) {
 		return warm
--- a/internal/edge/ingress/calls.go
+++ b/internal/edge/ingress/calls.go
@@ -132,6 +132,7 @@
 // whether the request is done.
 func (x *exchange) receive(ctx context.Context, cancel context.CancelCauseFunc, call *dispatch.Call, response *forward.Response, sendErr error) (dispatch.Result, bool, error) {
 	if errors.Is(sendErr, syscall.ECONNREFUSED) {
+		call.MarkConnectionRefused()
 		x.server.Dispatcher.RecordConnectionRefused(time.Now(), call)
 	}
 	if call.Owner != "" {
