Record signs of life when events are read, and never move them backwards

An upstream that is read on while its caller is slow looked silent until the caller took the events, and their earlier times then replaced later signs.

--- a/internal/core/dispatch/task.go
+++ b/internal/core/dispatch/task.go
@@ -434,6 +434,12 @@
 	return c.startLatency
 }
 
+// RecordSign records that the upstream has sent an event at a time, also if the caller has not taken
+// it yet. It is safe for concurrent use.
+func (c *Call) RecordSign(at time.Time) {
+	c.upstream.RecordSign(at)
+}
+
 // RecordFirstEvent records the first event of a stream, now.
 func (c *Call) RecordFirstEvent(now time.Time) {
 	c.upstream.RecordSign(now)
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -209,15 +209,26 @@
 	u.cooldownUntil = now.Add(minCooldown / 4)
 }
 
-// RecordSign records a sign of life of the upstream.
-func (u *Upstream) RecordSign(now time.Time) {
-	u.ownSign.Store(int64(now.Sub(u.registeredAt)))
-	u.recordAlive(now)
+// RecordSign records a sign of life of the upstream at a time. An earlier one than the last, which
+// is recorded late if its caller was slow, changes nothing.
+func (u *Upstream) RecordSign(at time.Time) {
+	storeLater(&u.ownSign, int64(at.Sub(u.registeredAt)))
+	u.recordAlive(at)
 }
 
 // recordAlive records that the upstream is alive, as calls of this instance or of others show.
-func (u *Upstream) recordAlive(now time.Time) {
-	u.lastSign.Store(int64(now.Sub(u.registeredAt)))
+func (u *Upstream) recordAlive(at time.Time) {
+	storeLater(&u.lastSign, int64(at.Sub(u.registeredAt)))
+}
+
+// storeLater stores a time unless a later one is stored.
+func storeLater(stored *atomic.Int64, at int64) {
+	for {
+		last := stored.Load()
+		if at <= last || stored.CompareAndSwap(last, at) {
+			return
+		}
+	}
 }
 
 // LastSign returns the time of the last sign of life that this instance's calls got, zero if
--- a/internal/core/placement/placement_test.go
+++ b/internal/core/placement/placement_test.go
@@ -216,6 +216,14 @@
 		is.True(u.Alive(later))
 		is.True(!u.Alive(later.Add(time.Second)))
 	})
+	t.Run("an earlier sign that is recorded late replaces no later one", func(t *testing.T) {
+		is := is.New(t)
+		u := newUpstreams(1)[0]
+		u.RecordSign(now.Add(time.Second))
+		u.RecordSign(now)
+		is.True(u.Alive(later))
+		is.Equal(u.LastSign(), now.Add(time.Second))
+	})
 	t.Run("more successful calls over the fleet are a sign of life", func(t *testing.T) {
 		is := is.New(t)
 		u := newUpstreams(1)[0]
--- a/internal/edge/ingress/readahead.go
+++ b/internal/edge/ingress/readahead.go
@@ -26,8 +26,8 @@
 type eventReader struct {
 	exchange *exchange
 	reader   *bufio.Reader
-	// onRead is called after each event that was read.
-	onRead func()
+	// onRead is called after each event that was read, with the time.
+	onRead func(at time.Time)
 
 	// timer starts readAhead if a write lasts, nil before the first write.
 	timer *time.Timer
@@ -91,7 +91,7 @@
 	e, err := readEvent(r.reader)
 	if err == nil {
 		e.arrived = time.Now()
-		r.onRead()
+		r.onRead(e.arrived)
 	}
 	return e, err
 }
--- a/internal/edge/ingress/readahead_test.go
+++ b/internal/edge/ingress/readahead_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -15,6 +17,9 @@
 
 	"github.com/matryer/is"
 
+	"mimosayard/internal/backend/forward"
+	"mimosayard/internal/core/catalog"
+	"mimosayard/internal/core/dispatch"
 	"mimosayard/internal/net/budget"
 )
 
@@ -44,7 +49,7 @@
 		recorder := &deadlineRecorder{ResponseRecorder: httptest.NewRecorder()}
 		x := &exchange{controller: http.NewResponseController(recorder)}
 		x.answerClaim.Init(budget.New(bytes), 0)
-		r := &eventReader{exchange: x, reader: bufio.NewReader(upstream), onRead: func() {}}
+		r := &eventReader{exchange: x, reader: bufio.NewReader(upstream), onRead: func(time.Time) {}}
 		go func() {
 			for n := range events {
 				if _, err := fmt.Fprintf(sender, "id: %d\ndata: %s\n\n", n+1, strings.Repeat(".", eventBytes)); err != nil {
@@ -99,3 +104,65 @@
 		})
 	}
 }
+
+// stuckRecorder is a response whose first write takes a time.
+type stuckRecorder struct {
+	*deadlineRecorder
+	wait time.Duration
+}
+
+// Write implements http.ResponseWriter.
+func (s *stuckRecorder) Write(p []byte) (int, error) {
+	time.Sleep(s.wait)
+	s.wait = 0
+	return s.deadlineRecorder.Write(p)
+}
+
+// startSlowRelay relays a stream to a caller that takes the first event only after a time. It
+// returns the dispatcher, the task, the call, the upstream's end of the stream and the result.
+func startSlowRelay(t *testing.T, wait time.Duration) (*dispatch.Dispatcher, *dispatch.Task, *dispatch.Call, *io.PipeWriter, <-chan dispatch.Result) {
+	t.Helper()
+	is := is.New(t)
+	d := dispatch.New("here", dispatch.Limits{}, rand.New(rand.NewPCG(1, 2)))
+	route := &catalog.Route{Name: "stream", Kind: catalog.Streaming, Resumable: true, Timeout: time.Minute, MaxAttempts: 1, Split: []catalog.Share{{Service: "s", Weight: 1}}}
+	d.SetUpstreams(time.Now(), []catalog.Upstream{{ID: "u", Service: "s", Address: "a", Version: "v1", Slots: 1, Ready: true}})
+	task, fault := d.Admit(time.Now(), dispatch.Request{ID: "r", Route: route, ArrivedAt: time.Now(), Deadline: time.Now().Add(time.Minute)})
+	is.True(fault == nil)
+	call, fault := d.NextCall(time.Now(), task)
+	is.True(fault == nil)
+	writer := &stuckRecorder{&deadlineRecorder{ResponseRecorder: httptest.NewRecorder()}, wait}
+	ctx, cancel := context.WithCancelCause(t.Context())
+	x := &exchange{
+		server: &Server{Dispatcher: d, SinceShutdown: func() time.Duration { return 0 }},
+		writer: writer, controller: http.NewResponseController(writer), route: route, task: task,
+		request: httptest.NewRequestWithContext(t.Context(), http.MethodGet, "/", http.NoBody),
+	}
+	upstream, sender := io.Pipe()
+	result := make(chan dispatch.Result, 1)
+	go func() {
+		defer cancel(nil)
+		defer func() { _ = upstream.Close() }()
+		r, _, _ := x.relayStream(ctx, cancel, call, &forward.Response{Status: http.StatusOK, Header: http.Header{}, Body: upstream})
+		result <- r
+	}()
+	return d, task, call, sender, result
+}
+
+// TestUpstreamThatIsReadOnIsAlive guards against an upstream that counts as silent while a caller
+// does not take its events.
+func TestUpstreamThatIsReadOnIsAlive(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const events = 5
+		d, task, call, sender, result := startSlowRelay(t, (events+1)*time.Second)
+		for n := range events {
+			_, err := fmt.Fprintf(sender, "id: %d\ndata: x\n\n", n+1)
+			is.NoErr(err)
+			time.Sleep(time.Second)
+		}
+		synctest.Wait()
+		is.True(d.ExtendStart(time.Now(), task, call) > 0)
+		is.NoErr(sender.Close())
+		is.Equal(<-result, dispatch.Served)
+	})
+}
--- a/internal/edge/ingress/streams.go
+++ b/internal/edge/ingress/streams.go
@@ -44,7 +44,8 @@
 		idleTimer = time.AfterFunc(idleTimeout, func() { cancel(errStreamIdle) })
 		defer idleTimer.Stop()
 	}
-	events := &eventReader{exchange: x, reader: bufio.NewReader(response.Body), onRead: func() {
+	events := &eventReader{exchange: x, reader: bufio.NewReader(response.Body), onRead: func(at time.Time) {
+		call.RecordSign(at)
 		if idleTimer != nil {
 			idleTimer.Reset(idleTimeout)
 		}
