--- a/internal/edge/ingress/readahead.go
+++ b/internal/edge/ingress/readahead.go
@@ -28,6 +28,8 @@
 	reader   *bufio.Reader
 	// onRead is called after each event that was read, with the time.
 	onRead func(at time.Time)
+	// onEnd is called when readAhead has come to the end of the stream or to an error.
+	onEnd func()
 
 	// timer starts readAhead if a write lasts, nil before the first write.
 	timer *time.Timer
@@ -130,8 +132,12 @@
 	r.ahead = true
 	r.mutex.Unlock()
 	defer close(r.done)
-	for r.append(r.read()) {
-		continue
+	for more := true; more; {
+		e, err := r.read()
+		if err != nil {
+			r.onEnd()
+		}
+		more = r.append(e, err)
 	}
 }
 
--- a/internal/edge/ingress/readahead_test.go
+++ b/internal/edge/ingress/readahead_test.go
@@ -49,7 +49,7 @@
 		recorder := &deadlineRecorder{ResponseRecorder: httptest.NewRecorder()}
 		x := &exchange{controller: http.NewResponseController(recorder)}
 		x.answerClaim.Init(budget.New(bytes), 0)
-		r := &eventReader{exchange: x, reader: bufio.NewReader(upstream), onRead: func(time.Time) {}}
+		r := &eventReader{exchange: x, reader: bufio.NewReader(upstream), onRead: func(time.Time) {}, onEnd: func() {}}
 		go func() {
 			for n := range events {
 				if _, err := fmt.Fprintf(sender, "id: %d\ndata: %s\n\n", n+1, strings.Repeat(".", eventBytes)); err != nil {
@@ -166,3 +166,17 @@
 		is.Equal(<-result, dispatch.Served)
 	})
 }
+
+// TestBrokenStreamOfASlowCallerIsNotTimedOut guards against a crash of an upstream that is taken
+// for a silent upstream, since the caller takes the events before it slowly.
+func TestBrokenStreamOfASlowCallerIsNotTimedOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		_, _, _, sender, result := startSlowRelay(t, 2*minStreamIdleTimeout)
+		_, err := fmt.Fprint(sender, "id: 1\ndata: x\n\n")
+		is.NoErr(err)
+		time.Sleep(2 * readAheadDelay)
+		is.NoErr(sender.CloseWithError(io.ErrUnexpectedEOF))
+		is.Equal(<-result, dispatch.Broken)
+	})
+}
--- a/internal/edge/ingress/streams.go
+++ b/internal/edge/ingress/streams.go
@@ -49,6 +49,11 @@
 		if idleTimer != nil {
 			idleTimer.Reset(idleTimeout)
 		}
+	}, onEnd: func() {
+		// The caller may take what was read ahead for longer than an upstream may be idle.
+		if idleTimer != nil {
+			idleTimer.Stop()
+		}
 	}}
 	defer events.stop(func() { cancel(nil) })
 	key := x.routeKey()
