Return the credit of calls that were not sent, and keep what was learned after a call

A call to a cold upstream that was not sent for want of room used up credit. A call from before the upstream was cold, answered 421, gave back credit that it had not used. The answer to a call from before the end of an evacuation undid the presumption that the upstream is cold after it.

--- a/internal/core/dispatch/task.go
+++ b/internal/core/dispatch/task.go
@@ -115,9 +115,10 @@
 	work float64
 	// tokens are those of the prompt and the expected answer, zero if the upstream does not
 	// state its pace.
-	tokens  tables.Tokens
-	sentAt  time.Time
-	started bool
+	tokens tables.Tokens
+	// chosenAt is when the upstream was chosen, sentAt when the connection was there.
+	chosenAt, sentAt time.Time
+	started          bool
 	// reservation is the call's possible rejection, nil if the upstream tolerates any.
 	reservation *placement.Reservation
 	// through is the peer that carries the connection, empty for a direct one.
@@ -255,6 +256,7 @@
 		upstream:     u,
 		Pace:         u.Pace(now),
 		work:         1,
+		chosenAt:     now,
 		sentAt:       now,
 		task:         task,
 		beginnings:   &d.beginnings,
@@ -465,6 +467,7 @@
 	if result == NoRoom {
 		task.calls--
 		task.noRoom++
+		u.ReturnColdCall(call.chosenAt)
 		task.tried = append(task.tried, u.ID)
 		return
 	}
@@ -493,7 +496,7 @@
 	case AddressReused:
 		u.MarkAddressReused()
 	case Misdirected:
-		u.ReturnColdCall()
+		u.ReturnColdCall(call.chosenAt)
 		u.RecordMisdirection(now, task.runModel())
 		task.misdirected = true
 	case Abandoned, LinkLost, NoRoom:
--- a/internal/core/dispatch/warmup_test.go
+++ b/internal/core/dispatch/warmup_test.go
@@ -16,6 +16,7 @@
 	"mimosayard/internal/core/catalog"
 	"mimosayard/internal/core/links"
 	"mimosayard/internal/core/pacing"
+	"mimosayard/internal/core/placement"
 	"mimosayard/internal/core/retries"
 	"mimosayard/internal/core/tables"
 	"mimosayard/internal/evaluation/simtime"
@@ -502,3 +503,37 @@
 		})
 	}
 }
+
+// TestCallsThatWereNotSentDoNotCount guards against a cold upstream that gets no calls, since those
+// that were not admitted count, and against one that gets too many, since calls from before it was
+// cold are given back.
+func TestCallsThatWereNotSentDoNotCount(t *testing.T) {
+	for _, result := range []Result{NoRoom, Misdirected} {
+		t.Run(fmt.Sprintf("result %d", result), func(t *testing.T) {
+			is := is.New(t)
+			d := New("here", Limits{Cold: pacing.ColdBound{Overshoot: 1.5, Allowance: 5}}, rand.New(rand.NewPCG(1, 2)))
+			d.SetCatalog(&catalog.Catalog{Version: 1, Services: []catalog.Service{{Name: "svc", ColdStart: coldStart, ColdRate: coldRate}}})
+			d.SetUpstreams(now, []catalog.Upstream{{ID: "u", Service: "svc", Address: "a", Version: "v1", Slots: 9, Ready: true}})
+			route := &catalog.Route{Name: "r", Kind: catalog.Safe, MaxAttempts: 3, Timeout: time.Minute, Split: []catalog.Share{{Service: "svc", Weight: 1}}}
+			u := d.services["svc"].upstreams[0]
+			before := mustAdmit(t, d, route, "before")
+			call := mustNextCall(t, d, before)
+
+			begin := now.Add(time.Second)
+			u.PresumeCold(begin, time.Minute, placement.ColdByEntry)
+			u.UpdateWarmUp(begin, coldStart, d.callers.Generation(), func() pacing.Rate { return 1 })
+			is.True(!u.HasRoom(begin))
+			d.EndCall(begin, before, call, result)
+			is.True(!u.HasRoom(begin))
+
+			at := begin.Add(1500 * time.Millisecond)
+			task, fault := d.Admit(at, Request{ID: "x", Route: route, ArrivedAt: at, Deadline: at.Add(time.Minute)})
+			is.True(fault == nil)
+			call, fault = d.NextCall(at, task)
+			is.True(fault == nil)
+			is.True(!u.HasRoom(at))
+			d.EndCall(at, task, call, result)
+			is.True(u.HasRoom(at))
+		})
+	}
+}
--- a/internal/core/placement/state_test.go
+++ b/internal/core/placement/state_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"mimosayard/internal/core/pacing"
 )
 
 // chooseAt chooses among the upstreams at a time after now.
@@ -76,3 +78,36 @@
 		is.Equal(chooseAt(upstreams, after+probeInterval), upstreams[0])
 	})
 }
+
+// TestColdStatementKeepsWhatWasLearnedLater guards against a rush of calls to an upstream after an
+// evacuation, since the answer to a call from before its end says that the upstream is warm.
+func TestColdStatementKeepsWhatWasLearnedLater(t *testing.T) {
+	const coldStart = 3 * time.Second
+	share := func() pacing.Rate { return 1 }
+	evacuationEnd, answered := now.Add(time.Second), now.Add(2*time.Second)
+	for name, c := range map[string]struct {
+		sentAt time.Time
+		wait   time.Duration
+		until  time.Time
+	}{
+		"warm, sent before":          {sentAt: now, until: evacuationEnd.Add(coldStart)},
+		"warm, sent after":           {sentAt: evacuationEnd.Add(1), until: answered},
+		"cold for less, sent before": {sentAt: now, wait: time.Second, until: evacuationEnd.Add(coldStart)},
+		"cold for less, sent after":  {sentAt: evacuationEnd.Add(1), wait: time.Second, until: answered.Add(time.Second)},
+		"cold for more, sent before": {sentAt: now, wait: 4 * time.Second, until: answered.Add(4 * time.Second)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			u := newUpstreams(1)[0]
+			u.PresumeCold(now.Add(-time.Second), time.Second, ColdByEntry)
+			u.UpdateWarmUp(now.Add(-time.Second), coldStart, 1, share)
+			u.PresumeCold(evacuationEnd, coldStart, ColdByEvacuation)
+			u.UpdateWarmUp(evacuationEnd, coldStart, 1, share)
+			u.StateCold(answered, c.wait, c.sentAt)
+			u.UpdateWarmUp(answered, coldStart, 1, share)
+			is.Equal(u.IsCold(answered), c.until.After(answered))
+			is.Equal(u.IsCold(c.until.Add(-1)), c.until.After(answered))
+			is.True(!u.IsCold(c.until))
+		})
+	}
+}
--- a/internal/core/placement/warmup.go
+++ b/internal/core/placement/warmup.go
@@ -16,6 +16,9 @@
 	// until is when the upstream is warm, by what this instance has seen itself, zero if it has
 	// seen nothing.
 	until time.Time
+	// learnedUntil is the same without what the upstream says in answers, and learnedAt is when it
+	// was last learned.
+	learnedUntil, learnedAt time.Time
 	// lostAt is when this instance last lost a call or could not connect, zero once the upstream
 	// was reached since, by this instance or another. It may come back later, and cold.
 	lostAt time.Time
@@ -31,7 +34,9 @@
 	// credit is what this instance may send, by the callers of a generation.
 	credit     pacing.Credit
 	generation uint64
-	reason     ColdReason
+	// limitedAt is when the limit began.
+	limitedAt time.Time
+	reason    ColdReason
 }
 
 // A ColdReason is why an upstream is presumed cold.
@@ -71,8 +76,7 @@
 // PresumeCold presumes that the upstream is cold for a time from now on, unless it is already for
 // longer.
 func (u *Upstream) PresumeCold(now time.Time, wait time.Duration, reason ColdReason) {
-	if until := now.Add(wait); until.After(u.warmUp.until) {
-		u.warmUp.until = until
+	if u.warmUp.learn(now, now.Add(wait)) {
 		u.warmUp.note(now, reason)
 	}
 }
@@ -85,10 +89,13 @@
 		// The answer may be of the life that ended.
 		return
 	}
-	w.until = time.Time{}
+	if !w.learnedAt.After(sentAt) {
+		w.learnedUntil = time.Time{}
+	}
+	w.until = w.learnedUntil
 	w.clearLoss()
-	if wait > 0 {
-		w.until = now.Add(wait)
+	if until := now.Add(wait); wait > 0 && until.After(w.until) {
+		w.until = until
 		w.note(now, ColdByAnswer)
 	}
 }
@@ -176,7 +183,7 @@
 	began := !w.limited
 	switch {
 	case began:
-		w.limited, w.generation = true, generation
+		w.limited, w.limitedAt, w.generation = true, now, generation
 		w.credit.Start(now, share())
 		u.UpdateLimited()
 	case w.generation != generation:
@@ -215,9 +222,10 @@
 	return u.WarmUpShare(), u.IsCold(now)
 }
 
-// ReturnColdCall takes back a call that does not count for a cold upstream.
-func (u *Upstream) ReturnColdCall() {
-	if u.warmUp.limited {
+// ReturnColdCall takes back a call, recorded at a time, that does not count for a cold upstream. One
+// from before its calls were limited has not been counted.
+func (u *Upstream) ReturnColdCall(recordedAt time.Time) {
+	if u.warmUp.limited && !recordedAt.Before(u.warmUp.limitedAt) {
 		u.warmUp.credit.ReturnCall()
 	}
 }
@@ -237,12 +245,26 @@
 	until := now.Add(w.duration)
 	if !w.reportsLoss() {
 		w.presumeUnreported(until)
-	} else if until.After(w.until) {
-		w.until = until
+	} else {
+		w.learn(now, until)
 	}
 	w.clearLoss()
 }
 
+// learn presumes until a time that the upstream is cold, and reports whether that is longer than
+// before.
+func (w *warmUp) learn(now, until time.Time) bool {
+	w.learnedAt = now
+	if until.After(w.learnedUntil) {
+		w.learnedUntil = until
+	}
+	longer := until.After(w.until)
+	if longer {
+		w.until = until
+	}
+	return longer
+}
+
 // presumeUnreported presumes until a time that the upstream is cold, and does not report it.
 func (w *warmUp) presumeUnreported(until time.Time) {
 	if until.After(w.unreportedUntil) {
