Evict stalled claims only if that makes room, and none that waits for bytes

A request that could not get room evicted all stalled claims and was refused all the same: their callers got 408 for nothing. A claim that waits in Grow can make no progress meanwhile, so the wait no longer counts. TestVictimThatWaits demanded that such a claim loses its place; TestWaitingClaimHasNotStalled replaces it and demands that it keeps it, that others are refused at once, and that it loses it when it stalls after the wait.

--- a/internal/net/budget/budget.go
+++ b/internal/net/budget/budget.go
@@ -4,6 +4,7 @@
 
 import (
 	"errors"
+	"slices"
 	"sync"
 	"time"
 )
@@ -51,6 +52,8 @@
 	// and progress the number of bytes since.
 	progressAt time.Time
 	progress   int64
+	// waitingSince is when the claim began to wait for bytes, zero while it does not.
+	waitingSince time.Time
 }
 
 var (
@@ -139,8 +142,8 @@
 }
 
 // Grow extends the claim by n bytes, also by less than none. If the budget is short, the
-// claim that has stalled longest loses its place. Grow waits for its bytes, and
-// returns ErrShort if there is no such claim.
+// claims that have stalled longest lose their places, and Grow waits for their bytes. If
+// all that have stalled do not hold enough, none does, and Grow returns ErrShort.
 func (c *Claim) Grow(n int64) error {
 	if c.budget == nil || c.held+n <= c.floor && c.held <= c.floor {
 		c.held += n
@@ -158,7 +161,7 @@
 		select {
 		case <-released:
 		case <-timeout:
-			return c.budget.refuse()
+			return c.budget.refuse(c)
 		}
 	}
 }
@@ -171,7 +174,7 @@
 	}
 	released, err := c.budget.grow(c, n, time.Now())
 	if released != nil {
-		return c.budget.refuse()
+		return c.budget.refuse(c)
 	}
 	return err
 }
@@ -226,20 +229,21 @@
 		return nil, ErrEvicted
 	}
 	more := max(0, c.held+n-c.floor) - c.shared()
-	missing := func() int64 { return b.held - b.evicting + more - b.limit }
-	for missing() > 0 && more > 0 && b.evictStalled(c, now) {
-		continue
-	}
-	switch {
-	case more > 0 && missing() > 0:
-		b.counts.Refused++
-		return nil, ErrShort
-	case more > 0 && b.held+more > b.limit:
+	if more > 0 && b.held+more > b.limit {
+		if !b.evictStalled(c, b.held-b.evicting+more-b.limit, now) {
+			c.endWait(now)
+			b.counts.Refused++
+			return nil, ErrShort
+		}
+		if c.waitingSince.IsZero() {
+			c.waitingSince = now
+		}
 		if b.released == nil {
 			b.released = make(chan struct{})
 		}
 		return b.released, nil
 	}
+	c.endWait(now)
 	c.held += n
 	b.held += more
 	switch {
@@ -254,36 +258,55 @@
 	return nil, nil
 }
 
-// refuse counts a refusal and returns its error.
-func (b *Budget) refuse() error {
+// endWait ends a wait for bytes, in which the claim could make no progress. The caller holds the
+// budget's mutex.
+func (c *Claim) endWait(now time.Time) {
+	if c.waitingSince.IsZero() {
+		return
+	}
+	c.progressAt = c.progressAt.Add(now.Sub(c.waitingSince))
+	c.waitingSince = time.Time{}
+}
+
+// refuse counts a refusal of a claim and returns its error.
+func (b *Budget) refuse(c *Claim) error {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
+	c.endWait(time.Now())
 	b.counts.Refused++
 	return ErrShort
 }
 
-// evictStalled takes the place of the claim that has stalled longest, other than the
-// one that asks, and reports whether there was one.
-func (b *Budget) evictStalled(asking *Claim, now time.Time) bool {
-	var victim *Claim
+// evictStalled takes the places of the claims that have stalled longest, other than the
+// one that asks, until they hold the missing bytes. If all that have stalled hold less, it
+// takes none and returns false. A claim that waits for bytes itself has not stalled.
+func (b *Budget) evictStalled(asking *Claim, missing int64, now time.Time) bool {
+	if missing <= 0 {
+		return true
+	}
+	var stalled []*Claim
+	held := int64(0)
 	for c := range b.watched {
-		if c == asking || now.Sub(c.progressAt) < c.patience {
-			continue
-		}
-		if victim == nil || c.progressAt.Before(victim.progressAt) {
-			victim = c
+		if c != asking && c.waitingSince.IsZero() && now.Sub(c.progressAt) >= c.patience {
+			stalled = append(stalled, c)
+			held += c.shared()
 		}
 	}
-	if victim == nil {
+	if held < missing {
 		return false
 	}
-	delete(b.watched, victim)
-	victim.evicted = true
-	b.evicting += victim.shared()
-	b.counts.Evicted++
-	victim.evict()
-	// The victim itself may wait for a release.
-	b.announce()
+	slices.SortFunc(stalled, func(a, b *Claim) int { return a.progressAt.Compare(b.progressAt) })
+	for _, victim := range stalled {
+		if missing <= 0 {
+			break
+		}
+		delete(b.watched, victim)
+		victim.evicted = true
+		b.evicting += victim.shared()
+		missing -= victim.shared()
+		b.counts.Evicted++
+		victim.evict()
+	}
 	return true
 }
 
