Word comments and names of the warm-up and the crowds plainly

The crowd tests at the product's own interface are named after it; their crowds and bounds are unchanged.

--- a/internal/core/dispatch/warmup.go
+++ b/internal/core/dispatch/warmup.go
@@ -96,7 +96,7 @@
 	}
 }
 
-// updateAllWarmUps does so for all upstreams.
+// updateAllWarmUps calls updateWarmUp for all upstreams of all services.
 func (d *Dispatcher) updateAllWarmUps(now time.Time) {
 	for _, s := range d.services {
 		for _, u := range s.upstreams {
--- a/internal/edge/callers/chat.go
+++ b/internal/edge/callers/chat.go
@@ -66,8 +66,8 @@
 	// maxRatedBytes is the size to which an answer is cut before it is sent
 	// for rating.
 	maxRatedBytes = 16 << 10
-	// bodyCopies and eventCopies are how often the bytes of a body or of an event are
-	// held beside the first time.
+	// bodyCopies and eventCopies are the numbers of copies of a body and of an event that are
+	// held in memory in addition to the original.
 	bodyCopies  = 3
 	eventCopies = 4
 )
--- a/internal/evaluation/crowds/crowds_test.go
+++ b/internal/evaluation/crowds/crowds_test.go
@@ -300,23 +300,26 @@
 // descriptors, or keep ordinary callers out. Each has one kind of crowd at one
 // of the two interfaces for callers.
 
-func TestHeadsOverTheLimit(t *testing.T)             { play(t, newSharedDoor, headsOverLimit) }
-func TestHeadsWithoutEnd(t *testing.T)               { play(t, newSharedDoor, headsWithoutEnd) }
-func TestEmptyLinesWithoutEnd(t *testing.T)          { play(t, newSharedDoor, emptyLines) }
-func TestManyWholeBodies(t *testing.T)               { play(t, newSharedDoor, wholeBodies) }
-func TestManyStoppedBodies(t *testing.T)             { play(t, newSharedDoor, stoppedBodies) }
-func TestManyStoppedLargeChunks(t *testing.T)        { play(t, newSharedDoor, stoppedLargeChunks) }
-func TestManySmallChunks(t *testing.T)               { play(t, newSharedDoor, smallChunks) }
-func TestUnreadAnswers(t *testing.T)                 { play(t, newSharedDoor, unreadAnswers) }
-func TestUnreadStreams(t *testing.T)                 { play(t, newSharedDoor, unreadStreams) }
-func TestHeadsOverTheLimitAtOwnDoor(t *testing.T)    { play(t, newOwnDoor, headsOverLimit) }
-func TestHeadsWithoutEndAtOwnDoor(t *testing.T)      { play(t, newOwnDoor, headsWithoutEnd) }
-func TestEmptyLinesWithoutEndAtOwnDoor(t *testing.T) { play(t, newOwnDoor, emptyLines) }
-func TestManyWholeBodiesAtOwnDoor(t *testing.T)      { play(t, newOwnDoor, wholeBodies) }
-func TestManyStoppedBodiesAtOwnDoor(t *testing.T)    { play(t, newOwnDoor, stoppedBodies) }
-func TestManyStoppedLargeChunksAtOwnDoor(t *testing.T) {
-	play(t, newOwnDoor, stoppedLargeChunks)
+func TestHeadsOverTheLimit(t *testing.T) { play(t, newSharedDoor, headsOverLimit) }
+
+func TestHeadsWithoutEnd(t *testing.T)                 { play(t, newSharedDoor, headsWithoutEnd) }
+func TestEmptyLinesWithoutEnd(t *testing.T)            { play(t, newSharedDoor, emptyLines) }
+func TestManyWholeBodies(t *testing.T)                 { play(t, newSharedDoor, wholeBodies) }
+func TestManyStoppedBodies(t *testing.T)               { play(t, newSharedDoor, stoppedBodies) }
+func TestManyStoppedLargeChunks(t *testing.T)          { play(t, newSharedDoor, stoppedLargeChunks) }
+func TestManySmallChunks(t *testing.T)                 { play(t, newSharedDoor, smallChunks) }
+func TestUnreadAnswers(t *testing.T)                   { play(t, newSharedDoor, unreadAnswers) }
+func TestUnreadStreams(t *testing.T)                   { play(t, newSharedDoor, unreadStreams) }
+func TestHeadsOverTheLimitAtOwnInterface(t *testing.T) { play(t, newOwnInterface, headsOverLimit) }
+
+func TestHeadsWithoutEndAtOwnInterface(t *testing.T)      { play(t, newOwnInterface, headsWithoutEnd) }
+func TestEmptyLinesWithoutEndAtOwnInterface(t *testing.T) { play(t, newOwnInterface, emptyLines) }
+func TestManyWholeBodiesAtOwnInterface(t *testing.T)      { play(t, newOwnInterface, wholeBodies) }
+func TestManyStoppedBodiesAtOwnInterface(t *testing.T)    { play(t, newOwnInterface, stoppedBodies) }
+
+func TestManyStoppedLargeChunksAtOwnInterface(t *testing.T) {
+	play(t, newOwnInterface, stoppedLargeChunks)
 }
-func TestManySmallChunksAtOwnDoor(t *testing.T) { play(t, newOwnDoor, smallChunks) }
-func TestUnreadAnswersAtOwnDoor(t *testing.T)   { play(t, newOwnDoor, unreadAnswers) }
-func TestUnreadStreamsAtOwnDoor(t *testing.T)   { play(t, newOwnDoor, unreadStreams) }
+func TestManySmallChunksAtOwnInterface(t *testing.T) { play(t, newOwnInterface, smallChunks) }
+func TestUnreadAnswersAtOwnInterface(t *testing.T)   { play(t, newOwnInterface, unreadAnswers) }
+func TestUnreadStreamsAtOwnInterface(t *testing.T)   { play(t, newOwnInterface, unreadStreams) }
--- a/internal/evaluation/crowds/door_test.go
+++ b/internal/evaluation/crowds/door_test.go
@@ -111,9 +111,9 @@
 	return d
 }
 
-// newOwnDoor starts an instance with the product's own interface, with one engine,
+// newOwnInterface starts an instance with the product's own interface, with one engine,
 // whose answers are large, and one plain service.
-func newOwnDoor(t *testing.T) *door {
+func newOwnInterface(t *testing.T) *door {
 	t.Helper()
 	subnet := nextSubnet()
 	platform, engine, desk := subnet+".1:7000", subnet+".2:7100", subnet+".3:7200"
--- a/internal/net/budget/budget_test.go
+++ b/internal/net/budget/budget_test.go
@@ -89,7 +89,7 @@
 		time.Sleep(patience - 1)
 		assertShort()
 		// Without the wait it has stalled like any other.
-		time.Sleep(1)
+		time.Sleep(time.Nanosecond)
 		go func() {
 			<-waitingEvicted
 			is.True(errors.Is(waiting.Keep(), ErrEvicted))
@@ -135,7 +135,7 @@
 		kept, _ := newClaim(t, b, 40)
 		is.NoErr(kept.Keep())
 		first, firstEvicted := newClaim(t, b, 30)
-		time.Sleep(1)
+		time.Sleep(time.Nanosecond)
 		second, _ := newClaim(t, b, 30)
 		time.Sleep(patience)
 		other := &Claim{}
--- a/internal/net/budget/limits.go
+++ b/internal/net/budget/limits.go
@@ -35,7 +35,8 @@
 	// otherwise grows to 4 MB for a connection. It passes 12 MB/s at a round trip
 	// of 10 ms.
 	maxSendBuffer = 128 << 10
-	// AnswerFloor is the same for an answer.
+	// AnswerFloor is what each answer may hold outside of the budget, so that small answers
+	// are delivered while large ones are dropped.
 	AnswerFloor = 8 << 10
 )
 
