--- a/internal/core/dispatch/task.go
+++ b/internal/core/dispatch/task.go
@@ -283,10 +283,7 @@
 	}
 	call.reservation = u.Reserve(now)
 	call.StartTimeout = d.startTimeout(task, call, remaining)
-	// A cold upstream has nothing in its cache, and a fetch from it would count as a call.
-	if source != nil && !source.IsCold(now) && d.fetchPays(task) {
-		call.CacheSource = source.Address
-	}
+	call.CacheSource = d.cacheSource(now, task, source)
 	u.AddWork(call.work)
 	if u.StatesPace() && criteria.Prompt != nil {
 		task.service.recordFlow(now, call, criteria.Tokens)
@@ -295,6 +292,16 @@
 	return call, nil
 }
 
+// cacheSource returns the address from which the call of a task fetches the shared parts of its
+// prompt, empty for none. A cold upstream has nothing in its cache, and a fetch from it would count
+// as a call.
+func (d *Dispatcher) cacheSource(now time.Time, task *Task, source *placement.Upstream) string {
+	if source == nil || source.IsCold(now) || !d.fetchPays(task) {
+		return ""
+	}
+	return source.Address
+}
+
 // StartAnswer records the start of an answer with the confidence that it
 // reports, -1 for none, and reports whether the answer is accepted. If it is not,
 // the task continues with a larger model, and the caller must end the call as
