Withdraw a verdict only while losses of the part are outlived

A sign of life marked the part for good, also when it was taken back since the life had ended. The part was then released when its losses expired after ten minutes. Now the outlived losses have to be what the evidence lacks.

--- a/internal/core/quarantine/fleet.go
+++ b/internal/core/quarantine/fleet.go
@@ -29,6 +29,9 @@
 	// instances that have withdrawn the quarantine. Earlier builds have neither.
 	keyEnded     = "ended"
 	keyWithdrawn = "withdrawn"
+	// keyOutlivedBuckets is the key of the first of the buckets of lives that have outlived a
+	// loss of a quarantined part. Earlier builds do not have it.
+	keyOutlivedBuckets = "outlived_buckets"
 	// keyLifeBuckets and keyRequestBuckets are the keys of the first of the buckets of
 	// lives and requests.
 	keyLifeBuckets    = "life_buckets"
@@ -91,6 +94,11 @@
 			set(partKey(keyRequestBuckets, part).Offset(bucketOf(request)), 1)
 		}
 	}
+	for part, lives := range t.outlivedLives() {
+		for life := range lives {
+			set(partKey(keyOutlivedBuckets, part).Offset(bucketOf(string(life))), 1)
+		}
+	}
 	for part := range t.sharedAnswers {
 		set(partKey(keyAnswers, part), 1)
 	}
@@ -142,17 +150,18 @@
 			t.endLosses(now, l.life)
 		}
 	}
-	t.outlive(func(l loss) bool { return now.Sub(l.at) >= signDelay && t.fleet.othersOf(SignKey(l.life)) > 0 })
+	t.outlive(now, func(l loss) bool { return now.Sub(l.at) >= signDelay && t.fleet.othersOf(SignKey(l.life)) > 0 })
 }
 
 // withdraw releases the parts whose evidence no longer suffices, since lives have outlived
-// their losses. It does not where evidence is missing since others that had it are gone.
+// their losses. It does not where the evidence would not suffice with the outlived losses either:
+// others that had the rest are gone, or it has expired.
 func (t *Table) withdraw(now time.Time) {
+	outlived := t.outlivedLives()
 	for _, part := range slices.Sorted(maps.Keys(t.quarantined)) {
-		s := t.quarantined[part]
 		switch {
 		case t.lives(part) >= minLives:
-		case s.contradicted:
+		case len(outlived[part]) > 0 && t.lives(part)+t.fleetOutlivedLives(part, outlived[part]) >= minLives:
 			if t.withdrawn == nil {
 				t.withdrawn = map[PartID]time.Time{}
 			}
@@ -164,6 +173,16 @@
 	}
 }
 
+// fleetOutlivedLives returns the number of lives, over the fleet, that have outlived a loss of a
+// quarantined part, at least. Own are those of this instance.
+func (t *Table) fleetOutlivedLives(part PartID, own map[Life]bool) float64 {
+	var seen buckets
+	for life := range own {
+		seen.add(string(life))
+	}
+	return t.fleet.countBuckets(partKey(keyOutlivedBuckets, part), &seen)
+}
+
 // isWithdrawn reports whether any instance has withdrawn the quarantine of the part, and there
 // is no new evidence for it.
 func (t *Table) isWithdrawn(part PartID) bool {
@@ -221,7 +240,9 @@
 
 // expire removes what no longer counts.
 func (t *Table) expire(now time.Time) {
-	t.removeLosses(func(l loss) bool { return now.Sub(l.at) > lossMemory || l.outlived && now.Sub(l.at) > outlivedMemory })
+	t.removeLosses(func(l loss) bool {
+		return now.Sub(l.at) > lossMemory || l.outlived && now.Sub(l.outlivedAt) > outlivedMemory
+	})
 	maps.DeleteFunc(t.ended, func(_ Life, at time.Time) bool { return now.Sub(at) > endMemory })
 	maps.DeleteFunc(t.withdrawn, func(_ PartID, at time.Time) bool { return now.Sub(at) > withdrawalMemory })
 	for part := range t.sharedAnswers {
--- a/internal/core/quarantine/lives_test.go
+++ b/internal/core/quarantine/lives_test.go
@@ -207,3 +207,61 @@
 	f.share(now)
 	is.Equal(f.decisions(now, "bad"), repeat(Refused, 4))
 }
+
+// TestOnlyOutlivedLossesWithdraw guards against a bad part that is released since evidence is
+// missing, though no life goes on after a loss with it.
+func TestOnlyOutlivedLossesWithdraw(t *testing.T) {
+	t.Run("not when the losses expire after a sign that was taken back", func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(1)
+		f.lose(now, 5, "bad")
+		f.tables[0].RecordSign("[bad]-0", now.Add(400*time.Millisecond))
+		f.share(now.Add(500 * time.Millisecond))
+		for i := range 5 {
+			f.tables[0].RecordEnd(now.Add(time.Second), Life("[bad]-"+strconv.Itoa(i)))
+		}
+		for at := time.Second; at < 30*time.Minute; at += time.Second {
+			f.share(now.Add(at))
+		}
+		is.Equal(f.tables[0].Quarantined(), 1)
+	})
+	t.Run("not when instances with losses start again", func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(5)
+		f.lose(now, 5, "bad")
+		is.Equal(f.decisions(now, "bad"), repeat(Refused, 5))
+		f.tables[0].RecordSign("[bad]-0", now.Add(time.Second))
+		f.share(now.Add(time.Second))
+		f.share(now.Add(time.Second))
+		for i := 1; i < 5; i++ {
+			f.tables[i] = Table{}
+		}
+		f.share(now.Add(2 * time.Second))
+		f.share(now.Add(2 * time.Second))
+		is.Equal(f.decisions(now.Add(2*time.Second), "bad"), repeat(Refused, 5))
+	})
+	t.Run("when the signs come long after the losses", func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(1)
+		f.lose(now, 3, "sound")
+		later := now.Add(2 * outlivedMemory)
+		f.share(later)
+		f.tables[0].RecordSign("[sound]-0", later)
+		f.share(later)
+		is.Equal(f.tables[0].Quarantined(), 0)
+	})
+	t.Run("when the losses of all instances are outlived at one time", func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(5)
+		f.lose(now, 5, "sound")
+		is.Equal(f.decisions(now, "sound"), repeat(Refused, 5))
+		later := now.Add(time.Second)
+		for i := range 5 {
+			f.tables[i].RecordSign(Life("[sound]-"+strconv.Itoa(i)), later)
+		}
+		f.share(later)
+		f.share(later)
+		f.share(later)
+		is.Equal(f.tables[0].Quarantined()+f.tables[4].Quarantined(), 0)
+	})
+}
--- a/internal/core/quarantine/quarantine.go
+++ b/internal/core/quarantine/quarantine.go
@@ -74,6 +74,8 @@
 	// no more. ended is true if the life is known to have ended, so that no sign that looks
 	// like its own counts.
 	outlived, ended bool
+	// outlivedAt is the time of that sign.
+	outlivedAt time.Time
 }
 
 // A quarantineState is the state of a part in quarantine.
@@ -89,9 +91,6 @@
 	// decided is true if this instance decided on the quarantine, stored once it has had it
 	// stored.
 	decided, stored bool
-	// contradicted is true once a life has outlived a loss of the part that this instance
-	// remembers.
-	contradicted bool
 }
 
 // A Decision is how to treat a request.
@@ -168,7 +167,7 @@
 	answerMemory = 15 * time.Second
 	// lossMemory is how long a loss counts.
 	lossMemory = 10 * time.Minute
-	// outlivedMemory is how long a loss is kept after which its life gave a sign.
+	// outlivedMemory is how long a loss is kept after its life gave a sign.
 	outlivedMemory = 15 * time.Second
 	// signGrace is the time after a loss for which events of the same process may still be
 	// read, though it has ended: they wait in buffers, and for a small instance's processor.
@@ -232,7 +231,7 @@
 // RecordSign records the latest sign of a life, at: an event or an answer of any call. The
 // losses before it were not its end, unless it is known to have ended.
 func (t *Table) RecordSign(life Life, at time.Time) {
-	t.outlive(func(l loss) bool { return l.life == life && at.Sub(l.at) > signGrace })
+	t.outlive(at, func(l loss) bool { return l.life == life && at.Sub(l.at) > signGrace })
 }
 
 // WantsSigns reports whether this instance has losses that a sign of their lives would outlive.
@@ -265,19 +264,15 @@
 	}
 }
 
-// outlive marks the losses that match as outlived, but for those on lives that have ended.
-func (t *Table) outlive(match func(loss) bool) {
+// outlive marks the losses that match as outlived, by a sign of the time at, but for those on
+// lives that have ended.
+func (t *Table) outlive(at time.Time, match func(loss) bool) {
 	for i, l := range t.losses {
 		if l.outlived || l.ended || !match(l) {
 			continue
 		}
-		t.losses[i].outlived = true
+		t.losses[i].outlived, t.losses[i].outlivedAt = true, at
 		t.tallies = nil
-		for _, part := range l.parts {
-			if s := t.quarantined[part]; s != nil {
-				s.contradicted = true
-			}
-		}
 	}
 }
 
@@ -320,7 +315,7 @@
 // RecordBeginning records an answer that has got past its beginning and has not ended. It
 // clears what RecordAnswer clears.
 func (t *Table) RecordBeginning(now time.Time, life Life, sentAt time.Time, parts []PartID) {
-	t.outlive(func(l loss) bool { return l.life == life && l.at.Before(sentAt) })
+	t.outlive(now, func(l loss) bool { return l.life == life && l.at.Before(sentAt) })
 	for _, part := range parts {
 		if part.IsRequest() && !t.isSuspected(part) {
 			continue
@@ -595,6 +590,24 @@
 	return known && now.Sub(at) < answerMemory || t.fleet.others(keyAnswers, part) > 0
 }
 
+// outlivedLives returns the lives that this instance has outlived losses of, by part. The parts
+// are those in quarantine.
+func (t *Table) outlivedLives() map[PartID]map[Life]bool {
+	outlived := map[PartID]map[Life]bool{}
+	for _, l := range t.losses {
+		for _, part := range l.parts {
+			if !l.outlived || t.quarantined[part] == nil {
+				continue
+			}
+			if outlived[part] == nil {
+				outlived[part] = map[Life]bool{}
+			}
+			outlived[part][l.life] = true
+		}
+	}
+	return outlived
+}
+
 // clear removes the part from this instance's losses.
 func (t *Table) clear(part PartID) {
 	for i, l := range t.losses {
