Count a life once on which several instances lost calls with a part

One crash that lost a call at three or four instances counted as as many lives of a shared part and quarantined it. Lives of all parts are now told apart by buckets, like those of requests; lives that earlier builds tell without buckets are added.

--- a/internal/core/quarantine/fleet.go
+++ b/internal/core/quarantine/fleet.go
@@ -18,6 +18,16 @@
 	// position is this instance's position among the instances of the fleet, and
 	// instances their number, zero while it is not known.
 	position, instances int
+	// otherLives caches the lives that other instances tell, by part.
+	otherLives map[PartID]toldLives
+}
+
+// toldLives are the lives on which other instances lost requests with a part.
+type toldLives struct {
+	seen buckets
+	// untold is the number of lives of which no bucket is known: those of earlier builds,
+	// which have buckets for requests only.
+	untold float64
 }
 
 // The names of the sums of a part.
@@ -78,33 +88,38 @@
 			set(lifeKey(l.life), 1)
 		}
 	}
+	t.contributeLosses(set)
+	for part, lives := range t.outlivedLives() {
+		for life := range lives {
+			set(partKey(keyOutlivedBuckets, part).Offset(bucketOf(string(life))), 1)
+		}
+	}
+	for part := range t.sharedAnswers {
+		set(partKey(keyAnswers, part), 1)
+	}
+	for part := range t.quarantined {
+		set(partKey(keyQuarantined, part), 1)
+	}
+}
+
+// contributeLosses calls set for the counts of the losses of the worst parts.
+func (t *Table) contributeLosses(set func(key aggregates.Key, value float64)) {
 	for _, part := range t.worstParts() {
 		own := t.tally()[part]
 		set(partKey(keyLives, part), float64(len(own.lives)))
 		if len(own.ended) > 0 {
 			set(partKey(keyEnded, part), float64(len(own.ended)))
 		}
+		for life := range own.lives {
+			set(partKey(keyLifeBuckets, part).Offset(bucketOf(string(life))), 1)
+		}
 		if part.IsRequest() {
-			for life := range own.lives {
-				set(partKey(keyLifeBuckets, part).Offset(bucketOf(string(life))), 1)
-			}
 			continue
 		}
 		for request := range own.requests {
 			set(partKey(keyRequestBuckets, part).Offset(bucketOf(request)), 1)
 		}
 	}
-	for part, lives := range t.outlivedLives() {
-		for life := range lives {
-			set(partKey(keyOutlivedBuckets, part).Offset(bucketOf(string(life))), 1)
-		}
-	}
-	for part := range t.sharedAnswers {
-		set(partKey(keyAnswers, part), 1)
-	}
-	for part := range t.quarantined {
-		set(partKey(keyQuarantined, part), 1)
-	}
 }
 
 // worstParts returns the parts of this instance's losses, at most maxSharedParts: those
@@ -128,6 +143,7 @@
 // last call.
 func (t *Table) ApplyTotals(now time.Time, totals, reported aggregates.Values) []Change {
 	t.fleet.totals, t.fleet.reported = totals, reported
+	t.fleet.otherLives = nil
 	t.tallies = nil
 	t.expire(now)
 	if t.fleet.hasEvidence() {
@@ -161,7 +177,7 @@
 	for _, part := range slices.Sorted(maps.Keys(t.quarantined)) {
 		switch {
 		case t.lives(part) >= minLives:
-		case len(outlived[part]) > 0 && t.lives(part)+t.fleetOutlivedLives(part, outlived[part]) >= minLives:
+		case len(outlived[part]) > 0 && t.livesWithOutlived(part, outlived[part]) >= minLives:
 			if t.withdrawn == nil {
 				t.withdrawn = map[PartID]time.Time{}
 			}
@@ -173,14 +189,20 @@
 	}
 }
 
-// fleetOutlivedLives returns the number of lives, over the fleet, that have outlived a loss of a
-// quarantined part, at least. Own are those of this instance.
-func (t *Table) fleetOutlivedLives(part PartID, own map[Life]bool) float64 {
-	var seen buckets
+// livesWithOutlived returns the number of lives, over the fleet, on which requests with a
+// quarantined part were lost, with those that have outlived it. Own are those of this instance.
+func (t *Table) livesWithOutlived(part PartID, own map[Life]bool) float64 {
+	others := t.fleet.lifeBuckets(part)
+	seen := others.seen
 	for life := range own {
 		seen.add(string(life))
 	}
-	return t.fleet.countBuckets(partKey(keyOutlivedBuckets, part), &seen)
+	if tally := t.tally()[part]; tally != nil {
+		for life := range tally.lives {
+			seen.add(string(life))
+		}
+	}
+	return t.fleet.countBuckets(partKey(keyOutlivedBuckets, part), &seen) + others.untold
 }
 
 // isWithdrawn reports whether any instance has withdrawn the quarantine of the part, and there
@@ -302,6 +324,26 @@
 	return count
 }
 
+// lifeBuckets returns the lives on which other instances lost requests with the part.
+func (f *fleetCounts) lifeBuckets(part PartID) toldLives {
+	if told, known := f.otherLives[part]; known {
+		return told
+	}
+	told, first := toldLives{untold: f.others(keyLives, part)}, partKey(keyLifeBuckets, part)
+	for i := range told.seen {
+		if count := f.othersOf(first.Offset(i)); count > 0 {
+			told.seen[i] = true
+			told.untold -= count
+		}
+	}
+	told.untold = max(0, told.untold)
+	if f.otherLives == nil {
+		f.otherLives = map[PartID]toldLives{}
+	}
+	f.otherLives[part] = told
+	return told
+}
+
 // inCharge reports whether this instance is in charge of the part.
 func (f *fleetCounts) inCharge(part PartID) bool {
 	return f.instances > 0 && xxhash.Sum64String(string(part))%uint64(f.instances) == uint64(f.position)
--- a/internal/core/quarantine/identity.go
+++ b/internal/core/quarantine/identity.go
@@ -51,3 +51,14 @@
 func (b *buckets) add(name string) {
 	b[bucketOf(name)] = true
 }
+
+// count returns the number of marked buckets.
+func (b *buckets) count() float64 {
+	count := 0.0
+	for _, marked := range b {
+		if marked {
+			count++
+		}
+	}
+	return count
+}
--- a/internal/core/quarantine/quarantine.go
+++ b/internal/core/quarantine/quarantine.go
@@ -477,39 +477,34 @@
 }
 
 // lives returns the number of lives of upstreams, over the fleet, on which requests with
-// the part were lost. A life on which two instances lost calls may count twice.
+// the part were lost, where no two count as one, at least. Several instances may have lost
+// calls on one life.
 func (t *Table) lives(part PartID) float64 {
 	lives, own := t.fleet.others(keyLives, part), t.tally()[part]
 	if own != nil {
 		lives += float64(len(own.lives))
 	}
-	if part.IsRequest() && lives >= suspectLives {
-		lives = t.distinctLives(part, own)
+	if lives < suspectLives {
+		return lives
 	}
-	return lives
-}
-
-// distinctLives returns the number of lives of which no two count as one, at least, on
-// which copies of a request were lost. Callers may send copies to several instances at
-// once, which lose them on the same life.
-func (t *Table) distinctLives(part PartID, own *tally) float64 {
-	var seen buckets
+	others := t.fleet.lifeBuckets(part)
+	seen := others.seen
 	if own != nil {
 		for life := range own.lives {
 			seen.add(string(life))
 		}
 	}
-	return t.fleet.countBuckets(partKey(keyLifeBuckets, part), &seen)
+	return seen.count() + others.untold
 }
 
 // endedLives returns the number of lives on which requests with the part were lost and that are
-// known to have ended.
+// known to have ended, which instances may have counted several times.
 func (t *Table) endedLives(part PartID) float64 {
 	ended := t.fleet.others(keyEnded, part)
 	if own := t.tally()[part]; own != nil {
 		ended += float64(len(own.ended))
 	}
-	return ended
+	return min(ended, t.lives(part))
 }
 
 // requests returns the number of different requests with the part, over the fleet, that
