Tell signs of those lives only on which calls were lost

Each instance told the fleet of every upstream that gave it a sign, as long as there was any evidence: one key for each upstream, that came and went ten times a second. Instances with losses now name the lives, and others tell signs of these only.

--- a/internal/core/dispatch/lives_test.go
+++ b/internal/core/dispatch/lives_test.go
@@ -121,3 +121,40 @@
 	share(d, now)
 	mustNextCall(t, d, admitWithPart(t, d, "another", "part"))
 }
+
+// TestSignsAreToldForLostLivesOnly guards against sums with a key for each upstream, that change
+// ten times a second, for as long as there is any evidence.
+func TestSignsAreToldForLostLivesOnly(t *testing.T) {
+	is := is.New(t)
+	d := newServingDispatcher(t)
+	beside := loseOnThreeLives(t, d)
+	signs := func(at time.Time) (told int) {
+		own := d.Contribution(at)
+		d.ApplyTotals(at, aggregates.Sum([]aggregates.Values{own}), own)
+		own = d.Contribution(at)
+		for _, s := range d.services {
+			for _, u := range s.upstreams {
+				if own[quarantine.SignKey(quarantine.Life(lifeName(u)))] > 0 {
+					told++
+				}
+			}
+		}
+		return told
+	}
+	for _, s := range d.services {
+		for _, u := range s.upstreams {
+			u.RecordSign(now.Add(time.Millisecond))
+		}
+	}
+	soon := now.Add(2 * time.Millisecond)
+	is.Equal(signs(soon), 3)
+	d.RecordConnectionRefused(soon, beside[0])
+	is.Equal(signs(soon), 2)
+	later := now.Add(quarantine.SignWindow - time.Millisecond)
+	beside[1].RecordEvent(later, time.Millisecond)
+	is.Equal(signs(later), 2)
+	share(d, later)
+	// That withdraws the verdict. The other life counts again once the sums tell of it.
+	share(d, later)
+	is.Equal(signs(later), 1)
+}
--- a/internal/core/dispatch/unresolved.go
+++ b/internal/core/dispatch/unresolved.go
@@ -52,16 +52,19 @@
 	}
 }
 
-// contributeSigns tells the fleet, while it has evidence, which upstreams have given a sign
-// lately.
+// contributeSigns tells the fleet which upstreams have given a sign lately, of those on which
+// some instance lost calls. Each key would else change several times a second in the sums.
 func (d *Dispatcher) contributeSigns(now time.Time, set func(key aggregates.Key, value float64)) {
 	if !d.quarantine.HasEvidence() {
 		return
 	}
 	for _, s := range d.services {
 		for _, u := range s.upstreams {
-			if now.Sub(u.LastSign()) < quarantine.SignWindow {
-				set(quarantine.SignKey(quarantine.Life(lifeName(u))), 1)
+			if now.Sub(u.LastSign()) >= quarantine.SignWindow {
+				continue
+			}
+			if life := quarantine.Life(lifeName(u)); d.quarantine.SharesSignsOf(life) {
+				set(quarantine.SignKey(life), 1)
 			}
 		}
 	}
--- a/internal/core/quarantine/compatibility_test.go
+++ b/internal/core/quarantine/compatibility_test.go
@@ -24,6 +24,7 @@
 		"withdrawn":       {partKey(keyWithdrawn, "p"), 9872271364125905983},
 		"outlived lives":  {partKey(keyOutlivedBuckets, "p").Offset(bucketOf("life")), 2294957989088726667},
 		"life's sign":     {SignKey("life"), 315481851356051463},
+		"life's loss":     {lostKey("life"), 15565834894023331551},
 		"life's end":      {endKey("life"), 6818774895644762205},
 		"attributed life": {lifeKey("life"), 17161379939721808449},
 	} {
--- a/internal/core/quarantine/fleet.go
+++ b/internal/core/quarantine/fleet.go
@@ -102,7 +102,8 @@
 	}
 }
 
-// contributeLosses calls set for the counts of the losses of the worst parts.
+// contributeLosses calls set for the counts of the losses of the worst parts, and for the lives
+// of them of which it is not known whether they go on.
 func (t *Table) contributeLosses(set func(key aggregates.Key, value float64)) {
 	for _, part := range t.worstParts() {
 		own := t.tally()[part]
@@ -112,6 +113,9 @@
 		}
 		for life := range own.lives {
 			set(partKey(keyLifeBuckets, part).Offset(bucketOf(string(life))), 1)
+			if !own.ended[life] {
+				set(lostKey(life), 1)
+			}
 		}
 		if part.IsRequest() {
 			continue
@@ -362,6 +366,12 @@
 	return aggregates.NewExactKey("life_sign", string(life))
 }
 
+// lostKey is the key of the number of instances that lost calls on a life and know neither that
+// it has ended nor that it goes on. Earlier builds do not have it.
+func lostKey(life Life) aggregates.Key {
+	return aggregates.NewExactKey("life_lost", string(life))
+}
+
 // endKey is the key of the number of instances that have learned of the end of a life.
 func endKey(life Life) aggregates.Key {
 	return aggregates.NewExactKey("life_end", string(life))
--- a/internal/core/quarantine/quarantine.go
+++ b/internal/core/quarantine/quarantine.go
@@ -239,6 +239,11 @@
 	return slices.ContainsFunc(t.losses, func(l loss) bool { return !l.outlived && !l.ended })
 }
 
+// SharesSignsOf reports whether any instance lacks a sign of the life, or word of its end.
+func (t *Table) SharesSignsOf(life Life) bool {
+	return t.fleet.totals[lostKey(life)] > 0
+}
+
 // RecordEnd records that a life has ended: its upstream refuses connections, or is registered
 // as another process. A sign that followed a loss shortly before came from the next process.
 func (t *Table) RecordEnd(now time.Time, life Life) {
