Use a trial of a quarantined part up only when it is sent

A request that Check let through as the trial could still be refused for want of room, or not reach its upstream, and the next trial was minutes away. The task remembers now that it is the trial, and the trial counts once there is a call.

--- a/internal/core/dispatch/quarantine_test.go
+++ b/internal/core/dispatch/quarantine_test.go
@@ -149,3 +149,37 @@
 		})
 	}
 }
+
+// TestTrialsThatAreNotSentAreNotUsedUp guards against a sound part that stays refused for minutes
+// since its trial found no upstream, or did not reach it.
+func TestTrialsThatAreNotSentAreNotUsedUp(t *testing.T) {
+	is := is.New(t)
+	d := newServingDispatcher(t)
+	d.SetFleetPosition(now, 0, 1)
+	for i := range 3 {
+		task := admitWithPart(t, d, strconv.Itoa(i), "part")
+		d.EndCall(now, task, mustNextCall(t, d, task), Broken)
+	}
+	at := now.Add(2 * time.Second)
+	unsent := admitWithPart(t, d, "unsent", "part")
+	for _, u := range unsent.service.upstreams {
+		unsent.tried = append(unsent.tried, u.ID)
+		u.Defer(at, time.Second)
+	}
+	_, fault := d.NextCall(at, unsent)
+	is.Equal(fault.Kind, faults.NoUpstream)
+	at = at.Add(time.Second)
+	trial := admitWithPart(t, d, "trial", "part")
+	for _, result := range []Result{Unreachable, NoRoom, Unreachable} {
+		call, fault := d.NextCall(at, trial)
+		is.Equal(fault, nil)
+		_, fault = d.NextCall(at, admitWithPart(t, d, "another", "part"))
+		is.Equal(fault.Kind, faults.PromptQuarantined)
+		d.EndCall(at, trial, call, result)
+	}
+	call, fault := d.NextCall(at, trial)
+	is.Equal(fault, nil)
+	d.EndCall(at, trial, call, Broken)
+	_, fault = d.NextCall(at, trial)
+	is.Equal(fault.Kind, faults.UpstreamFailed)
+}
--- a/internal/core/dispatch/task.go
+++ b/internal/core/dispatch/task.go
@@ -72,6 +72,10 @@
 	// suspects are the parts that may be at fault for the crash of an upstream, nil until
 	// they are needed.
 	suspects []quarantine.PartID
+	// trial are the quarantined parts whose trial the task is. mayBeTrial is true if the next call
+	// is one of further parts.
+	trial      []quarantine.PartID
+	mayBeTrial bool
 	// tried are the upstreams that failed or refused the request.
 	tried []tables.UpstreamID
 }
@@ -212,10 +216,7 @@
 	if remaining <= 0 {
 		return nil, faults.New(faults.DeadlineUnreachable, "no time is left")
 	}
-	if fault := d.quarantineFault(now, task); fault != nil {
-		return nil, fault
-	}
-	if fault := d.repeatFault(now, task); fault != nil {
+	if fault := d.callFault(now, task); fault != nil {
 		return nil, fault
 	}
 	version, candidates := d.candidates(now, task)
@@ -242,6 +243,7 @@
 	if owned && task.noRoom >= maxNoRoom {
 		return nil, faults.New(faults.Overloaded, "the upstream has no room in time")
 	}
+	d.startTrial(now, task)
 	u.RecordCall(now)
 	task.service.waiting.remove(task, true)
 	if task.arrivals > 0 {
@@ -302,6 +304,14 @@
 	return source.Address
 }
 
+// callFault returns the reason why a task may have no call, nil if it may.
+func (d *Dispatcher) callFault(now time.Time, task *Task) *faults.Error {
+	if fault := d.quarantineFault(now, task); fault != nil {
+		return fault
+	}
+	return d.repeatFault(now, task)
+}
+
 // StartAnswer records the start of an answer with the confidence that it
 // reports, -1 for none, and reports whether the answer is accepted. If it is not,
 // the task continues with a larger model, and the caller must end the call as
@@ -582,22 +592,41 @@
 // quarantineFault returns the reason why the request or a part of its prompt forbids a
 // call, nil if none does.
 func (d *Dispatcher) quarantineFault(now time.Time, task *Task) *faults.Error {
+	task.mayBeTrial = false
 	if !d.quarantine.HasEvidence() {
 		return nil
 	}
-	decision, part := d.quarantine.Check(now, task.suspectParts())
-	switch decision {
-	case quarantine.Refused:
+	decision, part := d.quarantine.Check(now, task.untriedParts())
+	if decision == quarantine.Allowed && len(task.trial) > 0 {
+		decision, part = quarantine.Suspect, task.trial[0]
+	}
+	switch {
+	case decision == quarantine.Refused:
 		return faults.New(faults.PromptQuarantined, string(part))
-	case quarantine.Suspect:
-		if task.losses > 0 {
-			return faults.New(faults.UpstreamFailed, "may crash upstreams: "+string(part))
-		}
-	case quarantine.Allowed:
+	case decision != quarantine.Allowed && task.losses > 0:
+		return faults.New(faults.UpstreamFailed, "may crash upstreams: "+string(part))
 	}
+	task.mayBeTrial = decision == quarantine.Trial
 	return nil
 }
 
+// untriedParts returns the parts of which the task is not the trial.
+func (t *Task) untriedParts() []quarantine.PartID {
+	parts := t.suspectParts()
+	if len(t.trial) == 0 {
+		return parts
+	}
+	return slices.DeleteFunc(slices.Clone(parts), func(part quarantine.PartID) bool { return slices.Contains(t.trial, part) })
+}
+
+// startTrial uses trials up if the call that is made is one.
+func (d *Dispatcher) startTrial(now time.Time, task *Task) {
+	if task.mayBeTrial {
+		task.trial = append(task.trial, d.quarantine.StartTrial(now, task.untriedParts())...)
+		task.mayBeTrial = false
+	}
+}
+
 // retryFault returns the reason why a task that has had a call may not be
 // retried, nil if it may.
 func (d *Dispatcher) retryFault(now time.Time, task *Task) *faults.Error {
--- a/internal/core/quarantine/quarantine.go
+++ b/internal/core/quarantine/quarantine.go
@@ -102,6 +102,9 @@
 	Allowed Decision = iota
 	// Suspect requests get no further call after a loss.
 	Suspect
+	// Trial requests are suspect, too. Their quarantined parts may be tried: StartTrial must
+	// be called when they are sent.
+	Trial
 	// Refused requests are not sent.
 	Refused
 )
@@ -207,6 +210,7 @@
 
 // Check returns how to treat a request with the parts, and the part that decides. A request
 // with a quarantined part may be sent as a trial if this instance is in charge of the part.
+// That uses no trial up until StartTrial.
 func (t *Table) Check(now time.Time, parts []PartID) (decision Decision, decisive PartID) {
 	if !t.HasEvidence() {
 		return Allowed, ""
@@ -217,11 +221,11 @@
 			s = t.quarantine(now, part, false)
 		}
 		switch {
-		case s != nil && t.startTrial(now, part, s):
-			decision, decisive = Suspect, part
+		case s != nil && (t.allowsPromptTrial(now, part, s) || t.allowsLateTrial(now, part, s)):
+			decision, decisive = Trial, part
 		case s != nil:
 			return Refused, part
-		case t.lives(part) >= suspectLives && !t.isAnswered(now, part):
+		case decision != Trial && t.lives(part) >= suspectLives && !t.isAnswered(now, part):
 			decision, decisive = Suspect, part
 		}
 	}
@@ -445,29 +449,39 @@
 	t.changes = append(t.changes, Change{Part: part, Released: true, Reason: reason, Decided: decided, Stored: stored})
 }
 
-// startTrial reports whether a request with a quarantined part may be sent now.
-func (t *Table) startTrial(now time.Time, part PartID, s *quarantineState) bool {
-	if !t.fleet.inCharge(part) {
-		return false
-	}
-	if s.promptTrials < maxPromptTrials && !now.Before(s.nextPromptTrial) && now.Sub(s.since) < firstTrialDelay && t.allowsPromptTrial(part) {
-		s.promptTrials++
-		s.nextPromptTrial = s.since.Add(now.Sub(s.since) * promptTrialFactor)
-		return true
-	}
-	if now.Before(s.nextTrial) {
-		return false
+// StartTrial records that a request with the parts is sent, which Check has allowed as a trial. It
+// returns the parts that are tried. The request may be sent again without another trial.
+func (t *Table) StartTrial(now time.Time, parts []PartID) []PartID {
+	var tried []PartID
+	for _, part := range parts {
+		s := t.quarantined[part]
+		switch {
+		case s == nil:
+			continue
+		case t.allowsPromptTrial(now, part, s):
+			s.promptTrials++
+			s.nextPromptTrial = s.since.Add(now.Sub(s.since) * promptTrialFactor)
+		default:
+			s.nextTrial = now.Add(s.trialDelay)
+			s.trialDelay *= trialDelayFactor
+		}
+		tried = append(tried, part)
 	}
-	s.nextTrial = now.Add(s.trialDelay)
-	s.trialDelay *= trialDelayFactor
-	return true
+	return tried
+}
+
+// allowsLateTrial reports whether a request with a quarantined part may be sent now, since no other
+// one was sent for long.
+func (t *Table) allowsLateTrial(now time.Time, part PartID, s *quarantineState) bool {
+	return t.fleet.inCharge(part) && !now.Before(s.nextTrial)
 }
 
-// allowsPromptTrial reports whether a part may have a trial before firstTrialDelay. One that has
+// allowsPromptTrial reports whether a part may have a trial now, before firstTrialDelay. One that has
 // just enough evidence may: it may have been unlucky, and one more life is within what a bad one
 // may cost. A request may cost no more than minLives, and nothing is known of a restored part.
-func (t *Table) allowsPromptTrial(part PartID) bool {
-	return !part.IsRequest() && t.lives(part) == minLives
+func (t *Table) allowsPromptTrial(now time.Time, part PartID, s *quarantineState) bool {
+	return t.fleet.inCharge(part) && s.promptTrials < maxPromptTrials && !now.Before(s.nextPromptTrial) &&
+		now.Sub(s.since) < firstTrialDelay && !part.IsRequest() && t.lives(part) == minLives
 }
 
 // dropOldest drops the part that is longest in quarantine.
--- a/internal/core/quarantine/quarantine_test.go
+++ b/internal/core/quarantine/quarantine_test.go
@@ -64,9 +64,12 @@
 	f.share(at)
 }
 
-// decision returns an instance's decision on a request with the parts.
+// decision returns an instance's decision on a request with the parts. A trial is sent.
 func (f *fleet) decision(at time.Time, instance int, parts ...PartID) Decision {
 	decision, _ := f.tables[instance].Check(at, parts)
+	if decision == Trial {
+		f.tables[instance].StartTrial(at, parts)
+	}
 	return decision
 }
 
--- a/internal/core/router/quarantine.go
+++ b/internal/core/router/quarantine.go
@@ -48,19 +48,29 @@
 // quarantineFault returns the reason why the content of the request forbids a step, nil if it
 // does not.
 func (r *Router) quarantineFault(now time.Time, task *Task) *faults.Error {
+	task.mayBeTrial = false
 	if task.Request.ContentPart == nil || !r.quarantine.HasEvidence() {
 		return nil
 	}
 	decision, part := r.quarantine.Check(now, []quarantine.PartID{task.Request.ContentPart()})
 	switch {
-	case decision == quarantine.Refused:
+	case decision == quarantine.Refused && !task.isTrial:
 		return faults.New(faults.PromptQuarantined, string(part))
-	case decision == quarantine.Suspect && task.losses > 0:
+	case decision != quarantine.Allowed && task.losses > 0:
 		return faults.New(faults.UpstreamFailed, "may crash upstreams: "+string(part))
 	}
+	task.mayBeTrial = decision == quarantine.Trial && !task.isTrial
 	return nil
 }
 
+// startTrial uses a trial up if the step that is started is one.
+func (r *Router) startTrial(now time.Time, task *Task) {
+	if task.mayBeTrial {
+		task.isTrial = len(r.quarantine.StartTrial(now, []quarantine.PartID{task.Request.ContentPart()})) > 0
+		task.mayBeTrial = false
+	}
+}
+
 // recordForQuarantine records what the end of a step shows about the request.
 func (r *Router) recordForQuarantine(now time.Time, task *Task, step *Step, outcome Outcome) {
 	if task.Request.ContentPart == nil {
--- a/internal/core/router/task.go
+++ b/internal/core/router/task.go
@@ -82,6 +82,9 @@
 	// losses is the number of calls whose connection was lost before the answer got past
 	// its beginning.
 	losses int
+	// isTrial is true if the task is the trial of its quarantined content. mayBeTrial is true if
+	// the next step makes it one.
+	isTrial, mayBeTrial bool
 }
 
 const (
@@ -147,6 +150,7 @@
 	if fault := r.checkDeadline(now, task, choice.ExpectedWait); fault != nil {
 		return nil, fault
 	}
+	r.startTrial(now, task)
 	state.upstreams.RecordStart(now, choice)
 	return &Step{
 		Pool:       state.pool,
