--- a/internal/core/dispatch/quarantine_test.go
+++ b/internal/core/dispatch/quarantine_test.go
@@ -183,3 +183,50 @@
 	_, fault = d.NextCall(at, trial)
 	is.Equal(fault.Kind, faults.UpstreamFailed)
 }
+
+// TestPromptTrialsDoNotOverlap guards against a bad part that ends two lives by prompt trials,
+// since the second is sent before the first has ended its upstream.
+func TestPromptTrialsDoNotOverlap(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// later is how long after the first trial the second one is due.
+		later time.Duration
+		// ends are the results of the calls of the first trial before that.
+		ends []Result
+		want faults.Kind
+	}{
+		{"none while it runs", 4 * time.Second, nil, faults.PromptQuarantined},
+		{"none while it may be sent again", 4 * time.Second, []Result{Unreachable}, faults.PromptQuarantined},
+		{"one after its end", 4 * time.Second, []Result{TimedOut}, ""},
+		{"one after its time", 10 * time.Second, nil, ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			d := newServingDispatcher(t)
+			d.SetFleetPosition(now, 0, 1)
+			for i := range 3 {
+				task := admitWithPart(t, d, strconv.Itoa(i), "part")
+				d.EndCall(now, task, mustNextCall(t, d, task), Broken)
+			}
+			at := now.Add(2 * time.Second)
+			admit := func(id string) *Task {
+				task := admitWithPart(t, d, id, "part")
+				task.Request.Deadline = at.Add(8 * time.Second)
+				return task
+			}
+			trial := admit("trial")
+			call, fault := d.NextCall(at, trial)
+			is.Equal(fault, nil)
+			for _, result := range c.ends {
+				d.EndCall(at, trial, call, result)
+			}
+			at = at.Add(c.later)
+			_, fault = d.NextCall(at, admit("second"))
+			got := faults.Kind("")
+			if fault != nil {
+				got = fault.Kind
+			}
+			is.Equal(got, c.want)
+		})
+	}
+}
--- a/internal/core/dispatch/task.go
+++ b/internal/core/dispatch/task.go
@@ -529,6 +529,7 @@
 	}
 	if result.isTaken() {
 		task.PossibleRuns++
+		d.quarantine.EndTrial(task.trial)
 		task.service.recordCall(task, call, result)
 	}
 	if result == Served && call.started {
@@ -621,8 +622,9 @@
 
 // startTrial uses trials up if the call that is made is one.
 func (d *Dispatcher) startTrial(now time.Time, task *Task) {
+	d.quarantine.ContinueTrial(task.trial, task.Request.Deadline)
 	if task.mayBeTrial {
-		task.trial = append(task.trial, d.quarantine.StartTrial(now, task.untriedParts())...)
+		task.trial = append(task.trial, d.quarantine.StartTrial(now, task.untriedParts(), task.Request.Deadline)...)
 		task.mayBeTrial = false
 	}
 }
--- a/internal/core/quarantine/quarantine.go
+++ b/internal/core/quarantine/quarantine.go
@@ -88,6 +88,8 @@
 	// nextPromptTrial is when the next prompt trial may be sent, promptTrials their number.
 	nextPromptTrial time.Time
 	promptTrials    int
+	// trialDeadline is when the last trial ends at the latest, zero if it has ended.
+	trialDeadline time.Time
 	// decided is true if this instance decided on the quarantine, stored once it has had it
 	// stored.
 	decided, stored bool
@@ -449,9 +451,10 @@
 	t.changes = append(t.changes, Change{Part: part, Released: true, Reason: reason, Decided: decided, Stored: stored})
 }
 
-// StartTrial records that a request with the parts is sent, which Check has allowed as a trial. It
-// returns the parts that are tried. The request may be sent again without another trial.
-func (t *Table) StartTrial(now time.Time, parts []PartID) []PartID {
+// StartTrial records that a request with the parts is sent, which Check has allowed as a trial and
+// which ends at the deadline at the latest. It returns the parts that are tried. The request may be
+// sent again without another trial.
+func (t *Table) StartTrial(now time.Time, parts []PartID, deadline time.Time) []PartID {
 	var tried []PartID
 	for _, part := range parts {
 		s := t.quarantined[part]
@@ -465,22 +468,37 @@
 			s.nextTrial = now.Add(s.trialDelay)
 			s.trialDelay *= trialDelayFactor
 		}
+		s.trialDeadline = deadline
 		tried = append(tried, part)
 	}
 	return tried
 }
 
+// ContinueTrial records that the trial of the parts is sent again.
+func (t *Table) ContinueTrial(parts []PartID, deadline time.Time) {
+	for _, part := range parts {
+		if s := t.quarantined[part]; s != nil {
+			s.trialDeadline = deadline
+		}
+	}
+}
+
+// EndTrial records that a call of the trial of the parts has ended that its upstream took.
+func (t *Table) EndTrial(parts []PartID) {
+	t.ContinueTrial(parts, time.Time{})
+}
+
 // allowsLateTrial reports whether a request with a quarantined part may be sent now, since no other
 // one was sent for long.
 func (t *Table) allowsLateTrial(now time.Time, part PartID, s *quarantineState) bool {
-	return t.fleet.inCharge(part) && !now.Before(s.nextTrial)
+	return t.fleet.inCharge(part) && !now.Before(s.nextTrial) && !now.Before(s.trialDeadline)
 }
 
 // allowsPromptTrial reports whether a part may have a trial now, before firstTrialDelay. One that has
-// just enough evidence may: it may have been unlucky, and one more life is within what a bad one
+// just enough evidence may, one after the other: it may have been unlucky, and one more life is within what a bad one
 // may cost. A request may cost no more than minLives, and nothing is known of a restored part.
 func (t *Table) allowsPromptTrial(now time.Time, part PartID, s *quarantineState) bool {
-	return t.fleet.inCharge(part) && s.promptTrials < maxPromptTrials && !now.Before(s.nextPromptTrial) &&
+	return t.fleet.inCharge(part) && s.promptTrials < maxPromptTrials && !now.Before(s.nextPromptTrial) && !now.Before(s.trialDeadline) &&
 		now.Sub(s.since) < firstTrialDelay && !part.IsRequest() && t.lives(part) == minLives
 }
 
--- a/internal/core/quarantine/quarantine_test.go
+++ b/internal/core/quarantine/quarantine_test.go
@@ -64,11 +64,11 @@
 	f.share(at)
 }
 
-// decision returns an instance's decision on a request with the parts. A trial is sent.
+// decision returns an instance's decision on a request with the parts. A trial is sent and ends.
 func (f *fleet) decision(at time.Time, instance int, parts ...PartID) Decision {
 	decision, _ := f.tables[instance].Check(at, parts)
 	if decision == Trial {
-		f.tables[instance].StartTrial(at, parts)
+		f.tables[instance].EndTrial(f.tables[instance].StartTrial(at, parts, at))
 	}
 	return decision
 }
--- a/internal/core/router/quarantine.go
+++ b/internal/core/router/quarantine.go
@@ -66,7 +66,7 @@
 // startTrial uses a trial up if the step that is started is one.
 func (r *Router) startTrial(now time.Time, task *Task) {
 	if task.mayBeTrial {
-		task.isTrial = len(r.quarantine.StartTrial(now, []quarantine.PartID{task.Request.ContentPart()})) > 0
+		task.isTrial = len(r.quarantine.StartTrial(now, []quarantine.PartID{task.Request.ContentPart()}, task.Deadline())) > 0
 		task.mayBeTrial = false
 	}
 }
