Store the quarantine of a request with the verdict

A fleet that lost power right after the verdict forgot a deadly request, since it was stored only once lives were known to have ended or after 2.5 s, and lost as many lives again. Shared parts are still confirmed first: many callers share a wrong verdict on them.

--- a/internal/core/quarantine/fleet.go
+++ b/internal/core/quarantine/fleet.go
@@ -216,7 +216,7 @@
 	return (own || t.fleet.others(keyWithdrawn, part) > 0) && t.lives(part) < minLives
 }
 
-// confirm has the quarantines stored on which this instance decided and that are not likely to
+// confirm has the quarantines of shared parts stored on which this instance decided and that are not likely to
 // be withdrawn, so that none is restored that only lost answers brought about.
 func (t *Table) confirm(now time.Time) {
 	for _, part := range slices.Sorted(maps.Keys(t.quarantined)) {
@@ -225,12 +225,17 @@
 			continue
 		}
 		if t.endedLives(part) >= confirmLives || now.Sub(s.since) >= confirmDelay {
-			s.stored = true
-			t.changes = append(t.changes, Change{Part: part, Decided: true, Confirmed: true, Lives: t.lives(part), Requests: t.requests(part)})
+			t.confirmPart(part, s)
 		}
 	}
 }
 
+// confirmPart has the quarantine of a part stored.
+func (t *Table) confirmPart(part PartID, s *quarantineState) {
+	s.stored = true
+	t.changes = append(t.changes, Change{Part: part, Decided: true, Confirmed: true, Lives: t.lives(part), Requests: t.requests(part)})
+}
+
 // shareAnswers tells the fleet of the parts that this instance saw an answer to and that
 // some instance lost requests with.
 func (t *Table) shareAnswers(now time.Time) {
--- a/internal/core/quarantine/lives_test.go
+++ b/internal/core/quarantine/lives_test.go
@@ -126,6 +126,15 @@
 		}
 		is.New(t).Equal(confirmed(f.share(now))+confirmed(f.share(now)), 1)
 	})
+	t.Run("at once if it is a request, with the verdict", func(t *testing.T) {
+		is := is.New(t)
+		table := &Table{}
+		for i := range 3 {
+			table.RecordLoss(now, Life(strconv.Itoa(i)), strconv.Itoa(i), []PartID{bad, "shared"})
+		}
+		is.Equal(confirmed(table.ApplyTotals(now, nil, nil)), 1)
+		is.Equal(confirmed(table.ApplyTotals(now.Add(confirmDelay), nil, nil)), 0)
+	})
 	t.Run("else after a while, once", func(t *testing.T) {
 		is := is.New(t)
 		f := newFleet(1)
--- a/internal/core/quarantine/quarantine.go
+++ b/internal/core/quarantine/quarantine.go
@@ -121,9 +121,10 @@
 	// Decided is true if this instance decided on the change, and false if it follows
 	// others.
 	Decided bool
-	// Confirmed marks a later change, which says that nothing has contradicted the
-	// quarantine and that this instance, which decided on it, has to store it. Stored is
-	// true for the release of a part for which there was such a change.
+	// Confirmed marks another change, which says that this instance, which decided on the
+	// quarantine, has to store it: at once that of a request, later that of a shared part if
+	// nothing has contradicted it. Stored is true for the release of a part for which there
+	// was such a change.
 	Confirmed, Stored bool
 	Lives             float64
 	Requests          float64
@@ -438,6 +439,10 @@
 	t.changes = append(t.changes, Change{Part: part, Decided: decided, Lives: t.lives(part), Requests: t.requests(part)})
 	t.quarantined[part] = s
 	t.tallies = nil
+	if decided && part.IsRequest() {
+		// A fleet that loses power right after the verdict would otherwise lose as many lives again.
+		t.confirmPart(part, s)
+	}
 	return s
 }
 
