--- a/internal/edge/ingress/calls.go
+++ b/internal/edge/ingress/calls.go
@@ -61,7 +61,7 @@
 	}
 	result := dispatch.Abandoned
 	defer func() {
-		if result == dispatch.Broken || result == dispatch.Abandoned && !call.Started() {
+		if result == dispatch.Broken || result == dispatch.Abandoned && !call.Started() || x.server.Dispatcher.SuspectsRequests() {
 			// The dispatcher asks for it under its lock.
 			x.contentPart()
 		}
--- a/internal/edge/ingress/quarantine_test.go
+++ b/internal/edge/ingress/quarantine_test.go
@@ -4,12 +4,19 @@
 	"context"
 	"errors"
 	"net/http"
+	"net/http/httptest"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 	"golang.org/x/sync/errgroup"
+
+	"mimosayard/internal/core/catalog"
+	"mimosayard/internal/core/quarantine"
+	"mimosayard/internal/net/budget"
+	"mimosayard/platform"
 )
 
 // TestOtherCallersAnswersClearARepeatedRequest guards against a request that ends upstream
@@ -77,3 +84,49 @@
 	assertStatus(t, response, err, http.StatusServiceUnavailable)
 	is.True(ti.server.Dispatcher.SuspectsRequests())
 }
+
+// TestBodiesAreNotHashedUnderTheDispatchersLock guards against an instance that stands still while
+// it hashes large bodies of answered requests, since upstreams have crashed during their calls.
+func TestBodiesAreNotHashedUnderTheDispatchersLock(t *testing.T) {
+	is := is.New(t)
+	ti := newTestIngress(t, func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-Attempt-Id", r.Header.Get("X-Attempt-Id"))
+	})
+	d := ti.server.Dispatcher
+	sent := httptest.NewRequest(http.MethodGet, "http://h/safe/x", nil)
+	sent.Header.Set("X-Attempt-Id", "id")
+	x := &exchange{
+		server: ti.server, writer: httptest.NewRecorder(), request: sent,
+		arrived: time.Now(), metadata: platform.ParseRequestHeader(sent.Header),
+		route: &catalog.Route{Name: "safe", Kind: catalog.Safe, Timeout: time.Minute, MaxAttempts: 1, Split: []catalog.Share{{Service: "s", Weight: 1}}},
+	}
+	x.controller = http.NewResponseController(x.writer)
+	x.answerClaim.Init(ti.server.Budget, budget.AnswerFloor)
+	request := x.dispatchRequest()
+	hashed, underLock := 0, false
+	x.contentPart = sync.OnceValue(func() quarantine.PartID {
+		hashed++
+		free := make(chan struct{})
+		go func() {
+			d.SuspectsRequests()
+			close(free)
+		}()
+		select {
+		case <-free:
+		case <-time.After(time.Second):
+			underLock = true
+		}
+		return x.hashContent()
+	})
+	request.ContentPart = x.contentPart
+	task, fault := d.Admit(time.Now(), request)
+	is.Equal(fault, nil)
+	x.task = task
+	call, fault := d.NextCall(time.Now(), task)
+	is.Equal(fault, nil)
+	d.RestoreQuarantine(time.Now(), []quarantine.PartID{"another"})
+	_, err := x.makeCall(t.Context(), call)
+	is.NoErr(err)
+	is.Equal(hashed, 1)
+	is.True(!underLock)
+}
