Compare a rollout's target with the old version at the usual pace

Even load moves work to fast engines, so that the medians over the old version's answers were those of its fast engines and a good target looked slow. The samples of the old version are now divided by the lasting pace of their upstream; those of the target are not, since its learned pace would hide a slow version. During a rollout lasting paces are relative to the mean of the old version's upstreams, so that a slow target does not lower them.

--- a/internal/core/dispatch/evidence.go
+++ b/internal/core/dispatch/evidence.go
@@ -321,7 +321,7 @@
 	if !lost && call.started && s.slow(task, call) {
 		evidence.Slow++
 	}
-	quick, known := s.quick(call)
+	quick, known := s.quick(task, call)
 	if known {
 		evidence.Paced++
 	}
--- a/internal/core/dispatch/latencies.go
+++ b/internal/core/dispatch/latencies.go
@@ -74,15 +74,29 @@
 		return
 	}
 	l := s.latencyStats(latencyKey{task.Request.Route.Class(), call.Model})
-	l.start.observe(call.startLatency)
+	gap := s.atUsualPace(task, call, call.MeanGap())
+	l.start.observe(s.atUsualPace(task, call, call.startLatency))
 	if call.events > 0 {
-		l.gap.observe(call.MeanGap())
+		l.gap.observe(gap)
 	}
 	if call.events >= minGaps {
-		s.latencyStats(latencyKey{anyClass, call.Model}).gap.observe(call.MeanGap())
+		s.latencyStats(latencyKey{anyClass, call.Model}).gap.observe(gap)
 	}
 }
 
+// atUsualPace returns how long a part of an answer would have taken at the usual pace. Most
+// answers come from fast upstreams, so that a good target of a rollout would look slow beside
+// them. The target's own answers are not corrected, since that would hide a slow version.
+func (s *service) atUsualPace(task *Task, call *Call, observed time.Duration) time.Duration {
+	if s.tracker.InProgress() && s.ranOnTarget(task) {
+		return observed
+	}
+	if pace := call.upstream.LastingPace(); pace != 1 {
+		return time.Duration(float64(observed) / pace)
+	}
+	return observed
+}
+
 // latencyStats returns the statistics of the key, which it creates if there are
 // none.
 func (s *service) latencyStats(key latencyKey) *latencyStats {
@@ -96,13 +110,13 @@
 
 // quick reports whether the mean gap of an answer was at most the usual one of its
 // model. Known is false if there is too little data to compare.
-func (s *service) quick(call *Call) (quick, known bool) {
+func (s *service) quick(task *Task, call *Call) (quick, known bool) {
 	l := s.latencies[latencyKey{anyClass, call.Model}]
 	if l == nil || call.events < minGaps {
 		return false, false
 	}
 	usual, known := l.gap.median()
-	return known && call.MeanGap() <= usual, known
+	return known && s.atUsualPace(task, call, call.MeanGap()) <= usual, known
 }
 
 // slow reports whether an answer took several times longer than usual. Without
@@ -114,7 +128,8 @@
 		route := task.Request.Route
 		return route.Kind != catalog.Streaming && route.LatencyTarget > 0 && call.startLatency > route.LatencyTarget/2
 	}
-	return l.start.isOutlier(call.startLatency) || (call.events > 0 && l.gap.isOutlier(call.MeanGap()))
+	return l.start.isOutlier(s.atUsualPace(task, call, call.startLatency)) ||
+		(call.events > 0 && l.gap.isOutlier(s.atUsualPace(task, call, call.MeanGap())))
 }
 
 // isOutlier reports whether a sample is several times the median. It is false
--- a/internal/core/dispatch/paces.go
+++ b/internal/core/dispatch/paces.go
@@ -46,9 +46,10 @@
 
 // applyPaces updates the lasting paces of the service's upstreams from the fleet's sums. They are
 // relative to their mean: the estimators, which are fitted at the usual pace, would otherwise
-// drift against them.
+// drift against them. During a rollout they are relative to the old version's mean, so that a
+// slow target does not make the old version look fast.
 func (s *service) applyPaces(totals, reported aggregates.Values) {
-	logs, count := 0.0, 0
+	var old, all paceMean
 	for _, u := range s.upstreams {
 		if totals[anyPaceKey] > 0 {
 			key := paceKey(u)
@@ -59,14 +60,16 @@
 			})
 		}
 		if u.StatesPace() {
-			logs += math.Log(u.MeanPaceRatio())
-			count++
+			all.add(u.MeanPaceRatio())
+			if !s.isTarget(u) {
+				old.add(u.MeanPaceRatio())
+			}
 		}
 	}
-	if count == 0 {
-		return
+	if old.count == 0 {
+		old = all
 	}
-	mean := math.Exp(logs / float64(count))
+	mean := old.mean()
 	for _, u := range s.upstreams {
 		if u.StatesPace() {
 			u.SetLastingPace(u.MeanPaceRatio() / mean)
@@ -74,6 +77,27 @@
 	}
 }
 
+// isTarget reports whether the upstream has the target version of a rollout in progress.
+func (s *service) isTarget(u *placement.Upstream) bool {
+	return s.tracker.InProgress() && u.Version == s.tracker.Target()
+}
+
+// paceMean computes a geometric mean.
+type paceMean struct {
+	logs  float64
+	count int
+}
+
+func (m *paceMean) add(pace float64) {
+	m.logs += math.Log(pace)
+	m.count++
+}
+
+// mean returns the mean, 1 of no values.
+func (m *paceMean) mean() float64 {
+	return math.Exp(m.logs / float64(max(1, m.count)))
+}
+
 // recordFlow records a call that is sent to an upstream that states its pace.
 func (s *service) recordFlow(now time.Time, call *Call, tokens tables.Tokens) {
 	u := call.upstream
--- a/internal/core/dispatch/paces_test.go
+++ b/internal/core/dispatch/paces_test.go
@@ -97,3 +97,67 @@
 	}
 	is.Equal(silent.Contribution(clock), stating.Contribution(clock))
 }
+
+// mixedRollout returns a service with upstreams of two versions, all of which state their pace,
+// and with a rollout of the second one in progress.
+func mixedRollout(old, target int) *service {
+	d := newDispatcher(append(newUpstreams("v1", old), newUpstreams("v2", target)...)...)
+	d.SetRollouts(now, []catalog.Rollout{{Service: "llm", Target: "v2", Duration: time.Minute, Progress: catalog.Progress{State: catalog.InProgress}}}, 0)
+	s := d.services["llm"]
+	for _, u := range s.upstreams {
+		u.RecordLoad(now, placement.ReportedLoad{Slots: 4, Pace: 1})
+	}
+	return s
+}
+
+// TestFastEnginesDoNotMakeATargetLookSlow guards against a good target that is rolled back since
+// most answers of the old version come from its fast engines, and against a slow one whose
+// learned pace hides it.
+func TestFastEnginesDoNotMakeATargetLookSlow(t *testing.T) {
+	is := is.New(t)
+	s := mixedRollout(2, 1)
+	old, target := s.upstreamsByVersion("v2", false), s.upstreamsByVersion("v2", true)
+	observe := func(u *placement.Upstream, answers int, gap time.Duration) {
+		task := &Task{Request: Request{Route: newRoute(catalog.Streaming)}, service: s}
+		for range answers {
+			s.observeLatency(task, &Call{upstream: u, startLatency: 3 * gap, totalGap: 10 * gap, events: 10})
+		}
+	}
+	old[0].SetLastingPace(0.5)
+	old[1].SetLastingPace(2)
+	observe(old[0], 30, 10*time.Millisecond)
+	observe(old[1], 8, 40*time.Millisecond)
+	target[0].SetLastingPace(2)
+	task := &Task{Request: Request{Route: newRoute(catalog.Streaming)}, service: s, version: "v2"}
+	quick, known := s.quick(task, &Call{upstream: target[0], totalGap: 200 * time.Millisecond, events: 10})
+	is.True(known && quick)
+	quick, known = s.quick(task, &Call{upstream: target[0], totalGap: 400 * time.Millisecond, events: 10})
+	is.True(known && !quick)
+	task.version = baselineVersion
+	quick, known = s.quick(task, &Call{upstream: old[1], totalGap: 400 * time.Millisecond, events: 10})
+	is.True(known && quick)
+}
+
+// TestSlowTargetKeepsThePacesOfTheOldVersion guards against a slow target that lowers the paces
+// of the old version's upstreams.
+func TestSlowTargetKeepsThePacesOfTheOldVersion(t *testing.T) {
+	is := is.New(t)
+	s := mixedRollout(2, 2)
+	totals := aggregates.Values{anyPaceKey: 3}
+	for _, u := range s.upstreams {
+		ratios := 100.0
+		if u.Version == "v2" {
+			ratios = 300
+		}
+		key := paceKey(u)
+		totals[key.Offset(paceAnswers)], totals[key.Offset(paceRatios)], totals[key.Offset(paceStated)] = 100, ratios, 100
+	}
+	s.applyPaces(totals, aggregates.Values{})
+	for _, u := range s.upstreams {
+		if u.Version == "v2" {
+			is.True(u.LastingPace() > 2.5)
+		} else {
+			is.True(math.Abs(u.LastingPace()-1) < 0.01)
+		}
+	}
+}
