Compare recent work only among upstreams that get work

The mean contained upstreams that are meant to get none: the target of a rollout in its first stages, evacuated, cold and failing ones. Nearly all others counted as overused then and passed their calls on, away from the cached parts of their prompts. The mean is now taken per version over upstreams that are usable, and neither evacuated, cold nor in cooldown. The others keep all calls.

--- a/internal/core/dispatch/paces.go
+++ b/internal/core/dispatch/paces.go
@@ -108,19 +108,37 @@
 }
 
 // applyFlows updates the recent work at the service's upstreams that state their pace from the
-// fleet's sums.
+// fleet's sums. Those of the target of a rollout and the others are compared apart, since a
+// version's share of the work follows its stage.
 func (s *service) applyFlows(now time.Time, totals, reported aggregates.Values) {
-	sum, count := 0.0, 0
 	for _, u := range s.upstreams {
-		if u.StatesPace() && u.Usable() {
+		if u.StatesPace() {
 			u.SetOthersFlow(totals.Others(reported, upstreamKey(valueFlow, u)))
+		}
+	}
+	version := s.majorityVersion()
+	if rollout, known := s.tracker.CurrentRollout(); known {
+		version = rollout.Target
+	}
+	for _, match := range []bool{true, false} {
+		compareUsage(now, s.upstreamsByVersion(version, match), s.usualWork)
+	}
+}
+
+// compareUsage compares the usage of each of the upstreams that get work with their mean.
+func compareUsage(now time.Time, upstreams []*placement.Upstream, usualWork float64) {
+	sum, count := 0.0, 0
+	for _, u := range upstreams {
+		if u.Comparable(now) {
 			sum += u.Usage(now)
 			count++
 		}
 	}
-	for _, u := range s.upstreams {
-		if u.StatesPace() && u.Usable() {
-			u.CompareUsage(now, sum/float64(count), s.usualWork)
+	for _, u := range upstreams {
+		if u.Comparable(now) {
+			u.CompareUsage(now, sum/float64(count), usualWork)
+		} else {
+			u.ResetUsage()
 		}
 	}
 }
--- a/internal/core/dispatch/paces_test.go
+++ b/internal/core/dispatch/paces_test.go
@@ -161,3 +161,38 @@
 		}
 	}
 }
+
+// TestUpstreamsWithoutWorkAreNotCompared guards against cache holders that pass their calls on,
+// since the mean work contains upstreams that get none: the target of a rollout, evacuated, cold,
+// and failing ones.
+func TestUpstreamsWithoutWorkAreNotCompared(t *testing.T) {
+	is := is.New(t)
+	s := mixedRollout(8, 4)
+	old, target := s.upstreamsByVersion("v2", false), s.upstreamsByVersion("v2", true)
+	totals := aggregates.Values{}
+	for _, u := range old {
+		totals[upstreamKey(valueFlow, u)] = 2000
+	}
+	s.usualWork = 50
+	s.applyFlows(now, totals, aggregates.Values{})
+	for _, u := range old {
+		is.True(!u.Overused())
+	}
+	is.True(!target[0].Overused())
+	totals[upstreamKey(valueFlow, old[1])] = 4000
+	totals[upstreamKey(valueFlow, old[5])] = 4000
+	s.applyFlows(now, totals, aggregates.Values{})
+	is.True(old[1].Overused())
+	is.True(old[5].Overused())
+	old[1].SetEvacuated(true)
+	old[2].SetEvacuated(true)
+	old[5].RecordFailure(now, true)
+	old[6].RecordFailure(now, true)
+	for _, u := range []*placement.Upstream{old[2], old[6]} {
+		totals[upstreamKey(valueFlow, u)] = 0
+	}
+	s.applyFlows(now, totals, aggregates.Values{})
+	for _, u := range old {
+		is.True(!u.Overused())
+	}
+}
--- a/internal/core/placement/flow.go
+++ b/internal/core/placement/flow.go
@@ -71,6 +71,22 @@
 	u.overused, u.flow.keep = excess > 1, math.Pow(excess, -power)
 }
 
+// Overused reports whether the upstream's recent work is above the mean as of the last comparison.
+func (u *Upstream) Overused() bool {
+	return u.overused
+}
+
+// ResetUsage discards the last comparison: the upstream keeps all calls.
+func (u *Upstream) ResetUsage() {
+	u.overused, u.flow.keep = false, 0
+}
+
+// Comparable reports whether the upstream's recent work may be compared with that of others. It
+// may not while the upstream is meant to get little work or none.
+func (u *Upstream) Comparable(now time.Time) bool {
+	return u.paced && u.Usable() && !u.evacuated && !u.IsCold(now) && u.CooldownOver(now)
+}
+
 // spread returns the index of the first candidate that keeps the call, in the order of the scores
 // from the given one on, among those whose expected wait is within the bound. So the calls that
 // an overused upstream passes on go to few others, which then have their shared parts too. If
