Bound an engine's memory only among preferred upstreams

The bound outranked cooldowns and upstreams that were tried: while all sound engines were above 85%, calls went to an engine in cooldown. It now holds in a first pass over the preferred upstreams, after which the tiers follow as before without it. The new test failed before.

--- a/internal/core/placement/memory_test.go
+++ b/internal/core/placement/memory_test.go
@@ -34,3 +34,25 @@
 	again, _, _ := c.Choose(now, upstreams, criteria)
 	is.Equal(again, first)
 }
+
+// TestMemoryBoundDoesNotPreferFailingUpstreams guards against calls that go to an engine in
+// cooldown, or again to one that was tried, since all sound engines are nearly full.
+func TestMemoryBoundDoesNotPreferFailingUpstreams(t *testing.T) {
+	is := is.New(t)
+	upstreams := newUpstreams(4)
+	for _, u := range upstreams {
+		u.RecordLoad(now, ReportedLoad{Slots: 4, Pace: 1})
+		u.SetMemory(100_000, 84_000)
+	}
+	failing, tried := upstreams[0], upstreams[1]
+	failing.RecordFailure(now, true)
+	failing.SetMemory(100_000, 0)
+	tried.SetMemory(100_000, 0)
+	for key := range uint64(20) {
+		criteria := promptCriteria(key)
+		criteria.Tokens, criteria.Tried = 10_000, []tables.UpstreamID{tried.ID}
+		u := choose(upstreams, criteria)
+		is.True(u != failing)
+		is.True(u != tried)
+	}
+}
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -415,7 +415,7 @@
 // if the prompt shares nothing. Upstreams in cooldown, draining, already tried or
 // that misdirect the model are chosen only if there is no other.
 func (c *Chooser) Choose(now time.Time, upstreams []*Upstream, criteria Criteria) (chosen, cacheHolder, source *Upstream) {
-	for t := preferred; t <= usable; t++ {
+	for t := fitting; t <= usable; t++ {
 		c.candidates = c.candidates[:0]
 		for _, u := range upstreams {
 			if u.eligible(t, now, &criteria) {
@@ -442,9 +442,11 @@
 
 // The tiers, most preferred first.
 const (
+	// fitting upstreams are preferred ones that can hold the request's tokens.
+	fitting tier = iota
 	// preferred upstreams are neither in cooldown nor tried, and do not misdirect the
 	// model.
-	preferred tier = iota
+	preferred
 	// untried upstreams may be in cooldown.
 	untried
 	// draining upstreams still serve and were not tried.
@@ -459,12 +461,12 @@
 		return false
 	}
 	tried := len(criteria.Tried) > 0 && slices.Contains(criteria.Tried, u.ID)
-	if t != usable && u.paced && !u.holds(criteria.Tokens) {
+	if t == fitting && u.paced && !u.holds(criteria.Tokens) {
 		return false
 	}
 	misdirects := len(u.misdirections) > 0 && u.Misdirects(now, criteria.Model)
 	switch t {
-	case preferred:
+	case fitting, preferred:
 		return u.Usable() && u.CooldownOver(now) && !tried && !misdirects
 	case untried:
 		return u.Usable() && !tried && !misdirects
