End what follows from an upstream's pace with its statements

An upstream that had stopped stating its pace kept passing calls on, and the fleet's sums stayed while no instance had any. Both are now cleared, and the lasting pace with them. Both new tests failed before.

--- a/internal/core/dispatch/paces.go
+++ b/internal/core/dispatch/paces.go
@@ -52,12 +52,9 @@
 	var old, all paceMean
 	for _, u := range s.upstreams {
 		if totals[anyPaceKey] > 0 {
-			key := paceKey(u)
-			u.SetFleetPaceSums(placement.PaceSums{
-				Answers: totals.Others(reported, key.Offset(paceAnswers)),
-				Ratios:  totals.Others(reported, key.Offset(paceRatios)),
-				Stated:  totals.Others(reported, key.Offset(paceStated)),
-			})
+			u.SetFleetPaceSums(fleetPaceSums(u, totals, reported))
+		} else if u.StatesPace() {
+			u.SetFleetPaceSums(placement.PaceSums{})
 		}
 		if u.StatesPace() {
 			all.add(u.MeanPaceRatio())
@@ -77,6 +74,16 @@
 	}
 }
 
+// fleetPaceSums returns the sums of the other instances for the upstream.
+func fleetPaceSums(u *placement.Upstream, totals, reported aggregates.Values) placement.PaceSums {
+	key := paceKey(u)
+	return placement.PaceSums{
+		Answers: totals.Others(reported, key.Offset(paceAnswers)),
+		Ratios:  totals.Others(reported, key.Offset(paceRatios)),
+		Stated:  totals.Others(reported, key.Offset(paceStated)),
+	}
+}
+
 // isTarget reports whether the upstream has the target version of a rollout in progress.
 func (s *service) isTarget(u *placement.Upstream) bool {
 	return s.tracker.InProgress() && u.Version == s.tracker.Target()
--- a/internal/core/dispatch/paces_test.go
+++ b/internal/core/dispatch/paces_test.go
@@ -196,3 +196,15 @@
 		is.True(!u.Overused())
 	}
 }
+
+// TestPaceSumsEndWithTheirKey guards against sums of the fleet that an instance keeps although no
+// instance has any.
+func TestPaceSumsEndWithTheirKey(t *testing.T) {
+	is := is.New(t)
+	s := mixedRollout(1, 1)
+	u := s.upstreams[0]
+	u.SetFleetPaceSums(placement.PaceSums{Answers: 100, Ratios: 200, Stated: 100})
+	u.RecordLoad(now, placement.ReportedLoad{Slots: 4})
+	s.applyPaces(aggregates.Values{}, aggregates.Values{})
+	is.True(!u.StatesPace())
+}
--- a/internal/core/placement/pace.go
+++ b/internal/core/placement/pace.go
@@ -70,9 +70,14 @@
 	return u.paced
 }
 
-// updatePaced updates paced, which is checked at each choice.
+// updatePaced updates paced, which is checked at each choice. What was derived from the pace ends
+// with it.
 func (u *Upstream) updatePaced() {
 	u.paced = u.reported.Pace > 0 || u.pace.fleet.Answers > 0
+	if !u.paced {
+		u.pace.fleet, u.pace.lasting = PaceSums{}, 0
+		u.ResetUsage()
+	}
 }
 
 // Pace returns how long work takes at the upstream now, relative to the usual time of the
--- a/internal/core/placement/pace_test.go
+++ b/internal/core/placement/pace_test.go
@@ -44,3 +44,22 @@
 		is.Equal(u.OwnPaceSums(now), PaceSums{})
 	})
 }
+
+// TestPaceEndsWithTheStatements guards against an upstream that passes calls on, or whose paces
+// are kept, after it has stopped stating its pace.
+func TestPaceEndsWithTheStatements(t *testing.T) {
+	is := is.New(t)
+	u := newPaced(now, 1)
+	u.SetFleetPaceSums(PaceSums{Answers: 100, Ratios: 200, Stated: 100})
+	u.SetLastingPace(2)
+	u.SetOthersFlow(4000)
+	u.CompareUsage(now, 2000, 50)
+	is.True(u.Overused())
+	u.RecordLoad(now, ReportedLoad{Slots: 4})
+	is.True(u.StatesPace())
+	u.SetFleetPaceSums(PaceSums{})
+	is.True(!u.StatesPace())
+	is.True(!u.Overused())
+	is.Equal(u.flow.keep, 0.0)
+	is.Equal(u.LastingPace(), 1.0)
+}
