Take back recent work of calls that were not taken

Calls that an upstream refused, or that never reached it, counted as its recent work for some half-lives, so that it passed later calls on. The end of such a call now subtracts what is left of its work. The new test failed before.

--- a/internal/core/dispatch/paces.go
+++ b/internal/core/dispatch/paces.go
@@ -105,13 +105,26 @@
 	return math.Exp(m.logs / float64(max(1, m.count)))
 }
 
-// recordFlow records a call that is sent to an upstream that states its pace.
-func (s *service) recordFlow(now time.Time, call *Call, tokens tables.Tokens) {
+// recordFlow records a call with a prompt if it is sent to an upstream that states its pace.
+func (s *service) recordFlow(now time.Time, call *Call, criteria *placement.Criteria) {
 	u := call.upstream
+	if !u.StatesPace() || criteria.Prompt == nil {
+		return
+	}
 	u.RecordFlow(now, call.work)
+	call.flow = call.work
 	s.usualWork = gapMemory*s.usualWork + (1-gapMemory)*call.work
-	call.tokens = tokens
-	u.AddTokens(tokens)
+	call.tokens = criteria.Tokens
+	u.AddTokens(call.tokens)
+}
+
+// endFlow ends what recordFlow recorded for a call. Work that the upstream did not take is not
+// part of its recent work.
+func (c *Call) endFlow(now time.Time, taken bool) {
+	c.upstream.AddTokens(-c.tokens)
+	if c.flow > 0 && !taken {
+		c.upstream.ReturnFlow(now, c.flow, c.chosenAt)
+	}
 }
 
 // applyFlows updates the recent work at the service's upstreams that state their pace from the
--- a/internal/core/dispatch/paces_test.go
+++ b/internal/core/dispatch/paces_test.go
@@ -208,3 +208,41 @@
 	s.applyPaces(aggregates.Values{}, aggregates.Values{})
 	is.True(!u.StatesPace())
 }
+
+// TestCallsThatAreNotTakenLeaveNoFlow guards against an upstream that passes calls on since it
+// counts those that it refused, or that never reached it, as recent work.
+func TestCallsThatAreNotTakenLeaveNoFlow(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		result Result
+		kept   bool
+	}{
+		{"no room", NoRoom, false},
+		{"unreachable", Unreachable, false},
+		{"refused", Refused, false},
+		{"misdirected", Misdirected, false},
+		{"address reused", AddressReused, false},
+		{"served", Served, true},
+		{"failed", Failed, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			d := newDispatcher(newUpstreams("v1", 1)...)
+			u := d.services["llm"].upstreams[0]
+			u.RecordLoad(now, placement.ReportedLoad{Slots: 4, Pace: 1})
+			earlier := mustNextCall(t, d, mustAdmit(t, d, newRoute(catalog.Streaming), "earlier"))
+			task := mustAdmit(t, d, newRoute(catalog.Streaming), "later")
+			call := mustNextCall(t, d, task)
+			is.Equal(u.OwnFlow(now), earlier.work+call.work)
+			ended := now.Add(2 * time.Second)
+			before := u.OwnFlow(ended)
+			d.RecordConnected(now.Add(time.Second), call, "")
+			d.EndCall(ended, task, call, c.result)
+			if c.kept {
+				is.Equal(u.OwnFlow(ended), before)
+			} else {
+				is.True(math.Abs(u.OwnFlow(ended)/before*(earlier.work+call.work)-earlier.work) < 1e-6)
+			}
+		})
+	}
+}
--- a/internal/core/dispatch/task.go
+++ b/internal/core/dispatch/task.go
@@ -120,6 +120,8 @@
 	// tokens are those of the prompt and the expected answer, zero if the upstream does not
 	// state its pace.
 	tokens tables.Tokens
+	// flow is the work that was recorded as recent work of such an upstream when it was chosen.
+	flow float64
 	// chosenAt is when the upstream was chosen, sentAt when the connection was there.
 	chosenAt, sentAt time.Time
 	started          bool
@@ -287,9 +289,7 @@
 	call.StartTimeout = d.startTimeout(task, call, remaining)
 	call.CacheSource = d.cacheSource(now, task, source)
 	u.AddWork(call.work)
-	if u.StatesPace() && criteria.Prompt != nil {
-		task.service.recordFlow(now, call, criteria.Tokens)
-	}
+	task.service.recordFlow(now, call, &criteria)
 	d.rememberSession(now, task)
 	return call, nil
 }
@@ -480,7 +480,7 @@
 	defer d.mutex.Unlock()
 	u := call.upstream
 	u.RemoveWork(call.work)
-	u.AddTokens(-call.tokens)
+	call.endFlow(now, result.isTaken())
 	if result == NoRoom {
 		task.calls--
 		task.noRoom++
--- a/internal/core/placement/flow.go
+++ b/internal/core/placement/flow.go
@@ -41,12 +41,22 @@
 	u.flow.own, u.flow.at = u.OwnFlow(now)+work, now
 }
 
+// ReturnFlow takes back work that was recorded at the time but that the upstream did not take.
+func (u *Upstream) ReturnFlow(now time.Time, work float64, recordedAt time.Time) {
+	u.flow.own, u.flow.at = max(0, u.OwnFlow(now)-work*flowDecay(now.Sub(recordedAt))), now
+}
+
 // OwnFlow returns this instance's recent work at the upstream.
 func (u *Upstream) OwnFlow(now time.Time) float64 {
 	if u.flow.own == 0 {
 		return 0
 	}
-	return u.flow.own * math.Exp2(-float64(now.Sub(u.flow.at))/float64(flowHalfLife))
+	return u.flow.own * flowDecay(now.Sub(u.flow.at))
+}
+
+// flowDecay returns the part of sent work that still counts after a time.
+func flowDecay(elapsed time.Duration) float64 {
+	return math.Exp2(-float64(elapsed) / float64(flowHalfLife))
 }
 
 // SetOthersFlow sets the recent work of the rest of the fleet.
