Start usual events at the first sample and ignore incomplete pace sums

The usual number of events began at zero and took some thirty answers to become true. It is now the mean of the first samples, later a weighted one as before. Sums of answers whose ratios had not come gave paces far below the usual one, and a stated pace was not bounded before it was used. The three new tests failed before.

The usual work of a call still begins at zero.

--- a/internal/core/dispatch/dispatch.go
+++ b/internal/core/dispatch/dispatch.go
@@ -106,8 +106,9 @@
 	usualWork float64
 	// usualEvents is the usual number of events in an answer of such an upstream,
 	// tokensPerEvent that of the tokens in an event.
-	usualEvents, tokensPerEvent float64
-	waiting                     waitingList
+	usualEvents    usualValue
+	tokensPerEvent float64
+	waiting        waitingList
 	// urgencies is the mix of urgencies in the prompts of recent calls.
 	urgencies urgencyMix
 	admission admission
--- a/internal/core/dispatch/paces.go
+++ b/internal/core/dispatch/paces.go
@@ -74,14 +74,19 @@
 	}
 }
 
-// fleetPaceSums returns the sums of the other instances for the upstream.
+// fleetPaceSums returns the sums of the other instances for the upstream, none unless all three
+// are there: changes of them may come in different messages.
 func fleetPaceSums(u *placement.Upstream, totals, reported aggregates.Values) placement.PaceSums {
 	key := paceKey(u)
-	return placement.PaceSums{
+	sums := placement.PaceSums{
 		Answers: totals.Others(reported, key.Offset(paceAnswers)),
 		Ratios:  totals.Others(reported, key.Offset(paceRatios)),
 		Stated:  totals.Others(reported, key.Offset(paceStated)),
 	}
+	if sums.Answers <= 0 || sums.Ratios <= 0 || sums.Stated <= 0 {
+		return placement.PaceSums{}
+	}
+	return sums
 }
 
 // isTarget reports whether the upstream has the target version of a rollout in progress.
@@ -178,6 +183,19 @@
 // gapMemory is the factor by which the weight of past gaps decreases with each answer.
 const gapMemory = 0.97
 
+// usualValue is the mean of the first samples, later one in which the weight of past ones decreases
+// by gapMemory with each. The first sample alone would be a poor one: answers of one service
+// differ in length.
+type usualValue struct {
+	value   float64
+	samples int
+}
+
+func (v *usualValue) observe(sample float64) {
+	v.samples++
+	v.value += (sample - v.value) * max(1-gapMemory, 1/float64(v.samples))
+}
+
 // observeGap records the mean gap between the events of an answer for the pace of its upstream.
 func (s *service) observeGap(now time.Time, task *Task, call *Call) {
 	if !call.upstream.StatesPace() || call.events < minGaps {
@@ -213,6 +231,6 @@
 // later ones.
 func (s *service) observeEvents(call *Call) {
 	if call.upstream.StatesPace() {
-		s.usualEvents = gapMemory*s.usualEvents + (1-gapMemory)*float64(call.events)
+		s.usualEvents.observe(float64(call.events))
 	}
 }
--- a/internal/core/dispatch/paces_test.go
+++ b/internal/core/dispatch/paces_test.go
@@ -246,3 +246,35 @@
 		})
 	}
 }
+
+// TestUsualAnswerStartsAtTheFirstSample guards against an instance that has just started and
+// expects answers of nearly no tokens, so that it sends more to an engine than fits.
+func TestUsualAnswerStartsAtTheFirstSample(t *testing.T) {
+	is := is.New(t)
+	s := mixedRollout(1, 1)
+	call := &Call{upstream: s.upstreams[0], events: 50}
+	s.observeEvents(call)
+	is.Equal(s.usualEvents.value, 50.0)
+	call.events = 20
+	s.observeEvents(call)
+	is.Equal(s.usualEvents.value, 35.0)
+}
+
+// TestIncompletePaceSumsAreIgnored guards against a pace that follows from answers whose ratios
+// have not come yet, since inexact values are sent in any order.
+func TestIncompletePaceSumsAreIgnored(t *testing.T) {
+	for missing := range paceStated + 1 {
+		is := is.New(t)
+		s := mixedRollout(1, 1)
+		u := s.upstreams[0]
+		totals := aggregates.Values{anyPaceKey: 1}
+		for element := range paceStated + 1 {
+			if element != missing {
+				totals[paceKey(u).Offset(element)] = 100
+			}
+		}
+		s.applyPaces(totals, aggregates.Values{})
+		is.Equal(u.MeanPaceRatio(), 1.0)
+		is.Equal(u.Pace(now), 1.0)
+	}
+}
--- a/internal/core/dispatch/task.go
+++ b/internal/core/dispatch/task.go
@@ -233,7 +233,7 @@
 	if task.readsPrompt() {
 		wait = d.promptWait(task, task.runModel())
 		criteria.AffinityKey, criteria.Prompt = task.affinityKey(task.runModel()), &wait
-		criteria.Tokens = task.Request.PromptTokens + tables.Tokens(task.service.usualEvents*task.service.tokensPerEvent)
+		criteria.Tokens = task.Request.PromptTokens + tables.Tokens(task.service.usualEvents.value*task.service.tokensPerEvent)
 	} else if task.service.spreads() {
 		criteria.WorkTime = task.service.admission.usualWorkTime(task)
 	}
--- a/internal/core/placement/pace.go
+++ b/internal/core/placement/pace.go
@@ -58,8 +58,14 @@
 	minPace, maxPace = 0.25, 8
 )
 
-// RecordLoad records the report of the upstream's load in an answer that has just come.
+// RecordLoad records the report of the upstream's load in an answer that has just come. A stated
+// pace beyond the bounds counts as the nearest one within them.
 func (u *Upstream) RecordLoad(now time.Time, load ReportedLoad) {
+	if load.Pace > 0 {
+		load.Pace = clampPace(load.Pace, maxPace)
+	} else {
+		load.Pace = 0
+	}
 	u.reported = loadReport{load, now}
 	u.updatePaced()
 }
--- a/internal/core/placement/pace_test.go
+++ b/internal/core/placement/pace_test.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -63,3 +64,13 @@
 	is.Equal(u.flow.keep, 0.0)
 	is.Equal(u.LastingPace(), 1.0)
 }
+
+// TestStatedPaceIsBounded guards against a statement that makes an upstream look a hundred times
+// as fast or slow as the others.
+func TestStatedPaceIsBounded(t *testing.T) {
+	is := is.New(t)
+	is.Equal(newPaced(now, 1000).reported.Pace, float64(maxPace))
+	is.Equal(newPaced(now, 0.001).reported.Pace, minPace)
+	is.Equal(newPaced(now, 0).reported.Pace, 0.0)
+	is.True(!newPaced(now, math.NaN()).StatesPace())
+}
