--- a/internal/core/placement/flow.go
+++ b/internal/core/placement/flow.go
@@ -86,7 +86,7 @@
 	return u.overused
 }
 
-// ResetUsage discards the last comparison: the upstream keeps all calls.
+// ResetUsage discards the last comparison, so that no calls are diverted from the upstream.
 func (u *Upstream) ResetUsage() {
 	u.overused, u.flow.keep = false, 0
 }
@@ -97,10 +97,11 @@
 	return u.paced && u.Usable() && !u.evacuated && !u.IsCold(now) && u.CooldownOver(now)
 }
 
-// spread returns the index of the first candidate that keeps the call, in the order of the scores
-// from the given one on, among those whose expected wait is within the bound. So the calls that
-// an overused upstream passes on go to few others, which then have their shared parts too. If
-// none of the first ones keeps the call, it returns the least used of them.
+// spread returns the index of the first candidate from which the call is not diverted, in the
+// order of the scores from the given one on, among those whose expected wait is within the bound.
+// So the calls that are diverted from an overused upstream go to few others, which then have their
+// shared parts too. If the call is diverted from each of the first ones, it returns the least used
+// of them.
 func (c *Chooser) spread(best int, bound forecast.Milliseconds) int {
 	least := best
 	for range maxSpreads {
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -483,8 +483,8 @@
 // has the highest score among those whose expected wait is close enough to the
 // shortest one, so that requests with the same key also stay together at
 // upstreams other than the cache holder. Where these send a key is where the
-// cache holder looks for parts that it lacks. An upstream whose recent work is above
-// the mean passes a part of its calls on.
+// cache holder looks for parts that it lacks. A part of the calls is diverted from
+// an upstream whose recent work is above the mean.
 func (c *Chooser) chooseByWait(now time.Time, key uint64, dataCenter tables.DataCenterID, wait *PromptWait) (chosen, cacheHolder, source *Upstream) {
 	c.scores, c.waits = c.scores[:0], c.waits[:0]
 	local := xxhash.Sum64String(string(dataCenter))
