Count only upstreams that get new work in the throughput

All requests were refused while all upstreams seemed to drain, as after an outage of the store, although the choice would have served them. Evacuated upstreams and, during a rollout, both versions in full were counted.

--- a/internal/core/dispatch/admission.go
+++ b/internal/core/dispatch/admission.go
@@ -184,7 +184,7 @@
 			u.SetFleetPace(now, totals[reportKey(valuePace, u)]/reports)
 		}
 	}
-	throughput := s.throughput(now)
+	throughput := d.throughput(now, s)
 	if alone := a.updateDemand(now, s.admissionKey(valueDemand), totals, totals[s.admissionKey(valueInstances)]); alone {
 		throughput *= aloneFraction
 	}
@@ -230,22 +230,52 @@
 	return false
 }
 
-// throughput returns the number of calls in a second that the upstreams can end in time.
-func (s *service) throughput(now time.Time) float64 {
+// throughput returns the number of calls in a second that the upstreams can end in time. It is
+// infinite if that is not known, or if no upstream seems to get new work: all may seem to drain
+// after an outage of the store, and then the choice still uses them.
+func (d *Dispatcher) throughput(now time.Time, s *service) float64 {
 	a := &s.admission
 	if a.workTime == 0 {
 		return math.Inf(1)
 	}
 	total, waiting := 0.0, 0.0
-	for _, u := range s.upstreams {
-		if u.Usable() && !u.Deferred(now) {
-			total += u.Throughput(now, a.workTime)
-			waiting += max(0, u.Excess()-float64(u.Slots)/2)
+	add := func(upstreams []*placement.Upstream, share float64) {
+		for _, u := range upstreams {
+			if mayGetNewWork(u) && !u.Deferred(now) {
+				total += share * u.Throughput(now, a.workTime)
+				waiting += share * max(0, u.Excess()-float64(u.Slots)/2)
+			}
 		}
 	}
+	version, share := d.mainVersion(s)
+	add(s.upstreamsByVersion(version, true), share)
+	add(s.upstreamsByVersion(version, false), 1-share)
+	if total == 0 {
+		return math.Inf(1)
+	}
 	return max(minAdmitted*total, admittedFraction*total-waiting/drainTime.Seconds())
 }
 
+// mayGetNewWork reports whether the upstream may get new work, apart from its limits.
+func mayGetNewWork(u *placement.Upstream) bool {
+	return u.Usable() && !u.Evacuated()
+}
+
+// mainVersion returns the target of the rollout, or else the version that gets all new work, and
+// the part of the new work that it gets. The other versions get the rest.
+func (d *Dispatcher) mainVersion(s *service) (tables.VersionID, float64) {
+	rollout, known := s.tracker.CurrentRollout()
+	if !known {
+		return s.majorityVersion(), 1
+	}
+	share := s.tracker.TargetShare(d.limits.Release)
+	if s.tracker.InProgress() && !slices.ContainsFunc(s.upstreamsByVersion(rollout.Target, true), mayGetNewWork) {
+		// The others serve its share as well.
+		share = 0
+	}
+	return rollout.Target, share
+}
+
 // divide gives each team its max-min share of the throughput, and a team's share to its ranks.
 func (a *admission) divide(throughput float64) {
 	a.admitted = nil
--- /dev/null
+++ b/internal/core/dispatch/admission_test.go
@@ -0,0 +1,106 @@
+package dispatch
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"mimosayard/internal/core/aggregates"
+	"mimosayard/internal/core/catalog"
+	"mimosayard/internal/core/tables"
+)
+
+// newDeskRoute returns a route to a service without models.
+func newDeskRoute() *catalog.Route {
+	return &catalog.Route{
+		Name: "r", Kind: catalog.Unsafe, MaxAttempts: 1, LatencyTarget: smallTarget, Timeout: smallBudget,
+		Split: []catalog.Share{{Service: "desk", Weight: 1}},
+	}
+}
+
+// newDeskUpstreams returns three upstreams of the version.
+func newDeskUpstreams(version tables.VersionID) []catalog.Upstream {
+	var all []catalog.Upstream
+	for i := range 3 {
+		id := tables.UpstreamID(fmt.Sprintf("%s-%d", version, i))
+		all = append(all, catalog.Upstream{
+			ID: id, Service: "desk", Address: string(id), Version: version, Slots: smallSlots, Ready: true,
+			DataCenter: tables.DataCenterID(fmt.Sprintf("dc-%d", i)),
+		})
+	}
+	return all
+}
+
+func newDesk(entries ...catalog.Upstream) *Dispatcher {
+	d := New("dc-0", limits, rand.New(rand.NewPCG(1, 2)))
+	d.SetUpstreams(now, entries)
+	return d
+}
+
+const (
+	// deskDemand is far more than the upstreams can serve.
+	deskDemand = 1e4
+	// deskThroughput is the part of the throughput of three upstreams that is given out.
+	deskThroughput = admittedFraction * 3 * smallSlots / 0.03
+)
+
+// deskTotals returns sums over one instance in which a team without name sends deskDemand.
+func deskTotals(d *Dispatcher, samples float64) aggregates.Values {
+	s := d.service("desk")
+	return aggregates.Values{
+		s.admissionKey(valueWorkSamples): samples,
+		s.admissionKey(valueWorkTime):    samples * smallWork.Seconds() * 1000,
+		s.admissionKey(valueInstances):   1,
+
+		s.admissionKey(valueDemand).Offset(int(slotOf("")) * maxRanks): deskDemand,
+	}
+}
+
+// admittedDemand returns the admitted part of deskDemand.
+func admittedDemand(d *Dispatcher, at time.Time) float64 {
+	d.ApplyTotals(at, deskTotals(d, 1000), aggregates.Values{})
+	if parts, limited := d.service("desk").admission.admitted[slotOf("")]; limited {
+		return parts[0] * deskDemand
+	}
+	return deskDemand
+}
+
+// isNear reports whether two rates differ by less than a hundredth.
+func isNear(rate, want float64) bool {
+	return rate > 0.99*want && rate < 1.01*want
+}
+
+// TestAdmissionCountsUpstreamsThatGetNewWork guards against requests that are refused while all
+// upstreams seem to drain, and against a throughput to which upstreams add that are evacuated or
+// of a version that gets no work.
+func TestAdmissionCountsUpstreamsThatGetNewWork(t *testing.T) {
+	is := is.New(t)
+	d := newDesk(newDeskUpstreams("v1")...)
+	is.True(isNear(admittedDemand(d, now), deskThroughput))
+	d.SetEvacuations(now, []tables.DataCenterID{"dc-1"})
+	is.True(isNear(admittedDemand(d, now), deskThroughput*2/3))
+
+	d = newDesk(newDeskUpstreams("v1")...)
+	draining := newDeskUpstreams("v1")
+	for i := range draining {
+		draining[i].Ready = false
+	}
+	d.SetUpstreams(now, draining)
+	is.Equal(admittedDemand(d, now), deskDemand)
+
+	d = newDesk(append(newDeskUpstreams("v1"), newDeskUpstreams("v2")...)...)
+	rollout := catalog.Rollout{Service: "desk", Target: "v2", Duration: 10 * time.Second}
+	for _, progress := range []catalog.Progress{{State: catalog.Pending}, {State: catalog.InProgress, Stage: 2}, {State: catalog.Completed}} {
+		rollout.Progress = progress
+		d.SetRollouts(now, []catalog.Rollout{rollout}, 0)
+		is.True(isNear(admittedDemand(d, now), deskThroughput))
+	}
+	// No upstream of the target is there yet.
+	d = newDesk(newDeskUpstreams("v1")...)
+	rollout.Progress = catalog.Progress{}
+	d.SetRollouts(now, []catalog.Rollout{rollout}, 0)
+	is.True(isNear(admittedDemand(d, now), deskThroughput))
+}
