--- a/internal/core/dispatch/admission.go
+++ b/internal/core/dispatch/admission.go
@@ -103,7 +103,7 @@
 	// aloneFraction is the part of the throughput that it then gives out, since it does not know
 	// how many wait.
 	aloneFraction = 0.8
-	// maxRejections is the number of upstreams that may reject a call before it is refused.
+	// maxRejections is the number of rejections after which a request gets no further call.
 	maxRejections = 2
 	// returnFraction is the part of the time that a caller has left within which it may come
 	// back. A later return would not be made.
@@ -424,7 +424,7 @@
 	if !s.admission.active || task.PossibleRuns > 0 {
 		return d.retryFault(now, task)
 	}
-	if len(task.tried) >= min(maxRejections, len(s.upstreams)) {
+	if task.rejections >= min(maxRejections, len(s.upstreams)) {
 		return overCapacity(now, task, "the upstreams rejected the request")
 	}
 	fault := d.retryFault(now, task)
--- a/internal/core/dispatch/admission_test.go
+++ b/internal/core/dispatch/admission_test.go
@@ -104,3 +104,38 @@
 	d.SetRollouts(now, []catalog.Rollout{rollout}, 0)
 	is.True(isNear(admittedDemand(d, now), deskThroughput))
 }
+
+// startAdmission makes the upstreams of the service state their pace.
+func startAdmission(d *Dispatcher) {
+	d.service("desk").admission.active = true
+}
+
+// nextResult makes the task's next call end with the result, and returns the upstream.
+func nextResult(t *testing.T, d *Dispatcher, task *Task, result Result) tables.UpstreamID {
+	t.Helper()
+	call := mustNextCall(t, d, task)
+	d.EndCall(now, task, call, result)
+	return call.Upstream.ID
+}
+
+// TestCallsThatNoUpstreamRejectedDoNotCountAsRejections guards against requests that are refused
+// for want of capacity after two calls that found no connection, while the third upstream is sound.
+func TestCallsThatNoUpstreamRejectedDoNotCountAsRejections(t *testing.T) {
+	is := is.New(t)
+	for _, result := range []Result{Unreachable, NoRoom, AddressReused, Misdirected} {
+		d := newDesk(newDeskUpstreams("v1")...)
+		startAdmission(d)
+		task := mustAdmit(t, d, newDeskRoute(), "id")
+		first, second := nextResult(t, d, task, result), nextResult(t, d, task, result)
+		third := nextResult(t, d, task, Served)
+		is.True(first != second && second != third && first != third)
+	}
+	d := newDesk(newDeskUpstreams("v1")...)
+	startAdmission(d)
+	task := mustAdmit(t, d, newDeskRoute(), "id")
+	nextResult(t, d, task, Refused)
+	nextResult(t, d, task, Unreachable)
+	nextResult(t, d, task, Refused)
+	_, fault := d.NextCall(now, task)
+	is.Equal(fault.Detail, "the upstreams rejected the request")
+}
--- a/internal/core/dispatch/task.go
+++ b/internal/core/dispatch/task.go
@@ -62,6 +62,8 @@
 	// upstream, losses the number of those that were lost before their answer got past
 	// its beginning.
 	calls, arrivals, losses int
+	// rejections is the number of calls that upstreams rejected because they were full.
+	rejections int
 	// misdirected is true once an upstream has rejected the request as misdirected.
 	misdirected bool
 	// overCapacity is true once the task is refused for want of capacity, for which it does not
@@ -506,6 +508,7 @@
 	case Mismatched, TimedOut:
 		u.RecordFailure(now, true)
 	case Refused:
+		task.rejections++
 		u.RecordRefusal(now)
 		if call.RoomWait > 0 && call.Owner == "" {
 			u.Room().RecordRejection(now)
