--- a/internal/core/dispatch/admission_test.go
+++ b/internal/core/dispatch/admission_test.go
@@ -10,6 +10,7 @@
 
 	"mimosayard/internal/core/aggregates"
 	"mimosayard/internal/core/catalog"
+	"mimosayard/internal/core/placement"
 	"mimosayard/internal/core/tables"
 )
 
@@ -139,3 +140,23 @@
 	_, fault := d.NextCall(now, task)
 	is.Equal(fault.Detail, "the upstreams rejected the request")
 }
+
+// TestCanariesAreNotEvacuated guards against a first stage of a rollout whose few canaries are
+// evacuated, so that the target gets none of its share.
+func TestCanariesAreNotEvacuated(t *testing.T) {
+	is := is.New(t)
+	var all []*placement.Upstream
+	for i := range 9 {
+		u := &placement.Upstream{}
+		u.SetEntry(now, catalog.Upstream{ID: tables.UpstreamID(fmt.Sprintf("u-%d", i)), Version: "v2", Slots: 1, Ready: true})
+		all = append(all, u)
+	}
+	for range 3 {
+		canaries := canaryUpstreams(now, all, "v2", 0.1, "")
+		is.Equal(len(canaries), 2)
+		for _, u := range canaries {
+			is.True(!u.Evacuated())
+			u.SetEvacuated(true)
+		}
+	}
+}
--- a/internal/core/dispatch/versions.go
+++ b/internal/core/dispatch/versions.go
@@ -112,7 +112,7 @@
 	})
 	usable := sorted[:0]
 	for _, u := range sorted {
-		if len(usable) < maxCanaries && u.Usable() && !u.Misdirects(now, model) {
+		if len(usable) < maxCanaries && mayGetNewWork(u) && !u.Misdirects(now, model) {
 			usable = append(usable, u)
 		}
 	}
