Keep calls in the own data centre until its upstreams are busier

The penalty was a part of the slots but was taken from what an upstream can end in 300 ms, so that two thirds of the calls went to other data centres.

--- a/internal/core/dispatch/admission.go
+++ b/internal/core/dispatch/admission.go
@@ -183,6 +183,7 @@
 		if reports := totals[reportKey(valueReports, u)]; reports > 0 {
 			u.SetFleetPace(now, totals[reportKey(valuePace, u)]/reports)
 		}
+		u.RecordUse(now)
 	}
 	throughput := d.throughput(now, s)
 	if alone := a.updateDemand(now, s.admissionKey(valueDemand), totals, totals[s.admissionKey(valueInstances)]); alone {
--- a/internal/core/dispatch/small_upstreams_test.go
+++ b/internal/core/dispatch/small_upstreams_test.go
@@ -36,6 +36,9 @@
 	// crowded is true if the sums of the work at many other upstreams delay those of the work at
 	// these: of sums that are not exact, a message has the six that changed most.
 	crowded bool
+	// apart is true if each upstream is in a data centre of its own. The instances are in those of
+	// the upstreams, or, if crammed, all in one of them.
+	apart, crammed bool
 }
 
 // smallFleet emulates the load. Sums arrive one to four exchanges late.
@@ -51,7 +54,7 @@
 	routes        [2]*catalog.Route
 	teams         [smallTeams]teamCount
 
-	requests, inTarget, answered, calls, rejected, refused, heldRefusals, badReturns int
+	requests, inTarget, answered, calls, rejected, refused, heldRefusals, badReturns, remote int
 }
 
 // teamCount counts a team's requests that came while one team sent more, and those answered.
@@ -101,7 +104,7 @@
 	}
 	for i := range 3 {
 		id := tables.UpstreamID(fmt.Sprintf("u-%d", i))
-		f.entries = append(f.entries, catalog.Upstream{ID: id, Service: "desk", Address: string(id), Version: "v1", Slots: smallSlots, Ready: true, DataCenter: "here"})
+		f.entries = append(f.entries, catalog.Upstream{ID: id, Service: "desk", Address: string(id), Version: "v1", Slots: smallSlots, Ready: true, DataCenter: load.dataCenter(i)})
 		f.servers[id] = &smallServer{pace: 1}
 		f.slowDown(f.servers[id], false)
 	}
@@ -119,12 +122,24 @@
 }
 
 func (f *smallFleet) start(n int) {
-	d := New("here", Limits{Retries: retries.Budget{Ratio: 0.9, Slack: 58, Window: 10 * time.Second}}, rand.New(rand.NewPCG(uint64(n), uint64(f.Now()))))
+	home := f.dataCenter(n)
+	if f.crammed {
+		home = f.dataCenter(0)
+	}
+	d := New(home, Limits{Retries: retries.Budget{Ratio: 0.9, Slack: 58, Window: 10 * time.Second}}, rand.New(rand.NewPCG(uint64(n), uint64(f.Now()))))
 	d.SetUpstreams(f.clock(), f.entries)
 	d.SetFleetPosition(f.clock(), n, len(f.dispatchers))
 	f.dispatchers[n] = d
 }
 
+// dataCenter returns the data centre of an upstream or an instance.
+func (l smallLoad) dataCenter(n int) tables.DataCenterID {
+	if !l.apart {
+		return "here"
+	}
+	return tables.DataCenterID(fmt.Sprintf("dc-%d", n%3))
+}
+
 func (f *smallFleet) clock() time.Time {
 	return now.Add(f.Now())
 }
@@ -267,6 +282,9 @@
 		return
 	}
 	f.calls++
+	if call.Upstream.DataCenter != d.dataCenter {
+		f.remote++
+	}
 	f.Schedule(serverDelay, func() {
 		f.dispatchers[n].RecordConnected(f.clock(), call, "")
 		f.arriveAt(f.servers[call.Upstream.ID], func(result Result, load placement.ReportedLoad) {
@@ -393,6 +411,34 @@
 	}
 }
 
+// TestCallsStayInTheDataCenter guards against calls that go to other data centres although the
+// upstreams of the own one are hardly busier, and against these being overrun.
+func TestCallsStayInTheDataCenter(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		load smallLoad
+		// remote is the largest share of calls to other data centres.
+		inTarget, remote float64
+	}{
+		{"even", smallLoad{burst: 1, apart: true}, 0.9, 0.4},
+		{"burst", smallLoad{burst: 1.7, apart: true}, 0, 0.55},
+		{"crammed", smallLoad{burst: 1, apart: true, crammed: true}, 0.9, 0.67},
+	} {
+		for _, instances := range []int{9, 81, 300} {
+			t.Run(fmt.Sprintf("%s/%d", c.name, instances), func(t *testing.T) {
+				f := newSmallFleet(instances, c.load)
+				f.run()
+				requests := float64(f.requests)
+				inTarget, rejected, remote := float64(f.inTarget)/requests, float64(f.rejected)/float64(f.calls), float64(f.remote)/float64(f.calls)
+				t.Logf("in target %.3f refused %.3f; rejected %.3f, in other data centres %.3f of calls", inTarget, float64(f.refused)/requests, rejected, remote)
+				if inTarget < c.inTarget || rejected >= 0.03 || remote > c.remote {
+					t.Errorf("in target %.3f of %.2f, rejected %.3f, in other data centres %.3f of %.2f", inTarget, c.inTarget, rejected, remote, c.remote)
+				}
+			})
+		}
+	}
+}
+
 // TestRanksShareWhatATeamIsDue guards against a rank that is starved by more urgent ones, and
 // against shares that add up to more than the team is due.
 func TestRanksShareWhatATeamIsDue(t *testing.T) {
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -92,6 +92,8 @@
 	flow       flowState
 	memory     memoryState
 	fleetPace  fleetPace
+	// usualUse is the mean part of the slots that calls occupy, if the pace is as usual.
+	usualUse float64
 	// misdirections are those of the models whose calls the upstream has rejected as
 	// misdirected, at most maxMisdirections. It is nil until there is one.
 	misdirections map[tables.ModelID]misdirection
