--- a/internal/core/dispatch/admission.go
+++ b/internal/core/dispatch/admission.go
@@ -441,7 +441,7 @@
 }
 
 // reportKey is the key of the sum of one of the values that the present life of an upstream has
-// reported.
+// reported. They change with each exchange, so small changes may be left out.
 func reportKey(value string, u *placement.Upstream) aggregates.Key {
-	return aggregates.NewExactKey("upstream", value, lifeName(u))
+	return aggregates.NewKey("upstream", value, lifeName(u))
 }
--- a/internal/core/dispatch/admission_test.go
+++ b/internal/core/dispatch/admission_test.go
@@ -160,3 +160,15 @@
 		}
 	}
 }
+
+// TestPacesAreNotSentWithEachExchange guards against sums that change with each exchange of which
+// every change is sent, so that they crowd out others.
+func TestPacesAreNotSentWithEachExchange(t *testing.T) {
+	is := is.New(t)
+	u := &placement.Upstream{}
+	for _, value := range []string{valuePace, valueReports} {
+		key := reportKey(value, u)
+		delta := aggregates.Delta(aggregates.Values{key: 1.001}, aggregates.Values{key: 1}, aggregates.Values{key: 1}, 0)
+		is.Equal(len(delta), 0)
+	}
+}
