Let a cut-off instance forget the fleet's requests more slowly

It forgot them within half a second and refused requests after two groups of three. A service that gets models by a new configuration is no longer limited.

--- a/internal/core/dispatch/admission.go
+++ b/internal/core/dispatch/admission.go
@@ -100,6 +100,11 @@
 	// maxScale is the multiple of the demand in the sums up to which these are taken for the
 	// whole fleet's. If fewer instances are in them, this one goes by itself.
 	maxScale = 4
+	// ownDemandWeight is the weight of the own requests, multiplied, at each exchange. They replace
+	// the fleet's last rates within about a second, in addition to their own window: sooner, two
+	// groups of three requests at one of 300 instances looked like an overload. With two seconds
+	// up to a tenth of the calls were rejected while a large team sent more.
+	ownDemandWeight = float64(bucketTime) / float64(time.Second)
 	// aloneFraction is the part of the throughput that it then gives out, since it does not know
 	// how many wait.
 	aloneFraction = 0.8
@@ -167,11 +172,13 @@
 // applyAdmission updates what is known of the service's work from the fleet's sums.
 func (d *Dispatcher) applyAdmission(now time.Time, s *service, totals, reported aggregates.Values) {
 	a := &s.admission
-	count := totals.Others(reported, s.admissionKey(valueWorkSamples)) + a.ownWork.count
-	if count == 0 {
+	if d.hasModels(s) {
+		// A new configuration may have given it models.
+		*a = admission{refused: a.refused}
 		return
 	}
-	if !a.active && d.hasModels(s) {
+	count := totals.Others(reported, s.admissionKey(valueWorkSamples)) + a.ownWork.count
+	if count == 0 {
 		return
 	}
 	a.active = true
@@ -211,8 +218,8 @@
 		for slot, rates := range own {
 			last := a.fleetDemand[slot]
 			for rank := range rates {
-				// The last known rates halve the chance in the few own requests.
-				rates[rank] = (rates[rank]*a.reporters + last[rank]) / 2
+				// A few own requests say little, so the last known rates count for some time.
+				rates[rank] = last[rank] + ownDemandWeight*(rates[rank]*a.reporters-last[rank])
 			}
 			own[slot] = rates
 		}
--- a/internal/core/dispatch/admission_test.go
+++ b/internal/core/dispatch/admission_test.go
@@ -172,3 +172,41 @@
 		is.Equal(len(delta), 0)
 	}
 }
+
+// TestServicesThatGetModelsAreNotLimited guards against an instance that goes on refusing requests
+// by the demand for a service that has models by now.
+func TestServicesThatGetModelsAreNotLimited(t *testing.T) {
+	is := is.New(t)
+	d := newDesk(newDeskUpstreams("v1")...)
+	is.True(admittedDemand(d, now) < deskDemand)
+	d.SetCatalog(&catalog.Catalog{Version: 1, Services: []catalog.Service{{
+		Name: "desk", Engine: &catalog.Engine{Models: []catalog.Model{{Name: "small"}}},
+	}}})
+	is.Equal(admittedDemand(d, now), deskDemand)
+	is.True(!d.service("desk").spreads())
+}
+
+// TestQuietInstanceThatIsCutOffRefusesNothing guards against an instance that is cut off and takes
+// a few groups of requests for the rate at each of many instances.
+func TestQuietInstanceThatIsCutOffRefusesNothing(t *testing.T) {
+	is := is.New(t)
+	d := newDesk(newDeskUpstreams("v1")...)
+	totals := deskTotals(d, 1000)
+	s := d.service("desk")
+	totals[s.admissionKey(valueInstances)] = 300
+	totals[s.admissionKey(valueDemand).Offset(int(slotOf(""))*maxRanks)] = 100
+	d.ApplyTotals(now, totals, aggregates.Values{})
+	route := newDeskRoute()
+	for at := time.Duration(0); at <= 4*time.Second; at += exchangeTime {
+		if at == 0 || at == time.Second || at == 4*time.Second {
+			is.Equal(len(s.admission.admitted), 0)
+			for i := range 3 {
+				_, fault := d.Admit(now.Add(at), Request{ID: fmt.Sprint(at, i), Route: route, ArrivedAt: now.Add(at), Deadline: now.Add(at + smallBudget)})
+				is.True(fault == nil)
+			}
+		}
+		own := d.Contribution(now.Add(at))
+		own[s.admissionKey(valueWorkSamples)], own[s.admissionKey(valueWorkTime)] = 1000, 30000
+		d.ApplyTotals(now.Add(at), own, aggregates.Values{})
+	}
+}
