--- a/internal/core/dispatch/admission.go
+++ b/internal/core/dispatch/admission.go
@@ -23,6 +23,8 @@
 	// ownWork are the samples of this instance, workTime the mean over the fleet.
 	ownWork  workSamples
 	workTime time.Duration
+	// measured is true once there were minRefusalSamples.
+	measured bool
 	// arrivals count this instance's requests, fleetDemand is the rate of the fleet's.
 	arrivals    arrivalWindow
 	fleetDemand map[teamSlot]rankRates
@@ -72,6 +74,10 @@
 	workMemory = 0.98
 	// minWorkSamples is the number of samples from which their mean is used.
 	minWorkSamples = 5
+	// minRefusalSamples is the number of samples over the fleet from which requests are refused.
+	// Their time contains the instance's own delays, which are long after a start. It is below
+	// what the samples of a single instance can sum up to.
+	minRefusalSamples = 45
 	// usualTargetFraction is the part of its target that a request is assumed to take while
 	// there are too few samples.
 	usualTargetFraction = 0.2
@@ -196,6 +202,11 @@
 	if alone := a.updateDemand(now, s.admissionKey(valueDemand), totals, totals[s.admissionKey(valueInstances)]); alone {
 		throughput *= aloneFraction
 	}
+	a.measured = a.measured || count >= minRefusalSamples
+	if !a.measured {
+		a.admitted = nil
+		return
+	}
 	a.divide(throughput)
 }
 
--- a/internal/core/dispatch/admission_test.go
+++ b/internal/core/dispatch/admission_test.go
@@ -210,3 +210,19 @@
 		d.ApplyTotals(now.Add(at), own, aggregates.Values{})
 	}
 }
+
+// TestNothingIsRefusedOnFewSamples guards against requests that are refused after all instances
+// have lost power, by the first answers, whose time contains the instances' own delays.
+func TestNothingIsRefusedOnFewSamples(t *testing.T) {
+	is := is.New(t)
+	d := newDesk(newDeskUpstreams("v1")...)
+	limited := func(samples float64) bool {
+		d.ApplyTotals(now, deskTotals(d, samples), aggregates.Values{})
+		return len(d.service("desk").admission.admitted) > 0
+	}
+	is.True(!limited(minRefusalSamples - 1))
+	is.True(limited(minRefusalSamples))
+	// An instance that is cut off goes by what it has known.
+	is.True(limited(1))
+	is.True(minRefusalSamples < 1/(1-workMemory))
+}
