Keep Retry-After within the time left after a slow body

Requests are admitted as of their arrival, so the time for the body counted as left. The detail blames a team only where the sums show what others send.

--- a/internal/core/dispatch/admission.go
+++ b/internal/core/dispatch/admission.go
@@ -34,6 +34,11 @@
 	// admitted are the parts of the requests that are admitted, by team and rank. All are
 	// admitted of those that are missing.
 	admitted map[teamSlot]rankRates
+	// knowsShares is true if the fleet's sums show what several teams send.
+	knowsShares bool
+	// latest is the latest time of an event. A request is admitted as of its arrival, which may be
+	// long ago if its body was slow.
+	latest time.Time
 	// refused counts the requests that this instance has refused.
 	refused int
 }
@@ -69,6 +74,12 @@
 	valueDemand      = "demand"
 )
 
+// The details of refusals before any call.
+const (
+	shareDetail    = "the team sends more than its share of what the upstreams can serve"
+	unservedDetail = "the upstreams cannot serve all requests in time"
+)
+
 const (
 	// workMemory is the factor by which the weight of past samples decreases with each one.
 	workMemory = 0.98
@@ -188,6 +199,7 @@
 		return
 	}
 	a.active = true
+	a.latestTime(now)
 	if count >= minWorkSamples {
 		sum := totals.Others(reported, s.admissionKey(valueWorkTime)) + a.ownWork.milliseconds
 		a.workTime = max(time.Millisecond, time.Duration(sum/count*float64(time.Millisecond)))
@@ -199,9 +211,11 @@
 		u.RecordUse(now)
 	}
 	throughput := d.throughput(now, s)
-	if alone := a.updateDemand(now, s.admissionKey(valueDemand), totals, totals[s.admissionKey(valueInstances)]); alone {
+	alone := a.updateDemand(now, s.admissionKey(valueDemand), totals, totals[s.admissionKey(valueInstances)])
+	if alone {
 		throughput *= aloneFraction
 	}
+	a.knowsShares = !alone && len(a.fleetDemand) > 1
 	a.measured = a.measured || count >= minRefusalSamples
 	if !a.measured {
 		a.admitted = nil
@@ -399,7 +413,11 @@
 	slot, rank := slotOf(task.Request.Team), min(max(task.Request.Rank, 0), maxRanks-1)
 	a.arrivals.count(now, slot, rank)
 	if parts, limited := a.admitted[slot]; limited && d.chooser.Random.Float64() >= parts[rank] {
-		return overCapacity(now, task, "the team sends more than its share of what the upstreams can serve")
+		detail := unservedDetail
+		if a.knowsShares {
+			detail = shareDetail
+		}
+		return overCapacity(now, task, detail)
 	}
 	return nil
 }
@@ -408,12 +426,20 @@
 // did not run.
 func overCapacity(now time.Time, task *Task, detail string) *faults.Error {
 	fault := faults.New(faults.Overloaded, detail)
-	fault.RetryAfter = returnWithin(now, task)
+	fault.RetryAfter = returnWithin(task.service.admission.latestTime(now), task)
 	task.overCapacity = true
 	task.service.admission.refused++
 	return fault
 }
 
+// latestTime returns the later of the time and that of the latest event.
+func (a *admission) latestTime(now time.Time) time.Time {
+	if now.After(a.latest) {
+		a.latest = now
+	}
+	return a.latest
+}
+
 // Admission returns the number of requests that this instance has refused because the upstreams
 // of their services could not have served them in time, and the longest of the services' expected
 // times of an answer at their best upstreams.
--- a/internal/core/dispatch/admission_test.go
+++ b/internal/core/dispatch/admission_test.go
@@ -10,6 +10,7 @@
 
 	"mimosayard/internal/core/aggregates"
 	"mimosayard/internal/core/catalog"
+	"mimosayard/internal/core/faults"
 	"mimosayard/internal/core/placement"
 	"mimosayard/internal/core/tables"
 )
@@ -226,3 +227,30 @@
 	is.True(limited(1))
 	is.True(minRefusalSamples < 1/(1-workMemory))
 }
+
+// TestRefusalsFitTheTimeLeft guards against a Retry-After for which a caller with a slow body has
+// no time left, and against a refusal that blames a team without knowing what others send.
+func TestRefusalsFitTheTimeLeft(t *testing.T) {
+	is := is.New(t)
+	d := newDesk(newDeskUpstreams("v1")...)
+	s := d.service("desk")
+	refusal := func(arrived, deadline time.Time) *faults.Error {
+		for i := range 1000 {
+			if _, fault := d.Admit(arrived, Request{ID: fmt.Sprint(i), Route: newDeskRoute(), ArrivedAt: arrived, Deadline: deadline}); fault != nil {
+				return fault
+			}
+		}
+		t.Fatal("nothing is refused")
+		return nil
+	}
+	totals := deskTotals(d, 1000)
+	d.ApplyTotals(now.Add(900*time.Millisecond), totals, aggregates.Values{})
+	for _, left := range []time.Duration{20 * time.Millisecond, 150 * time.Millisecond, 600 * time.Millisecond} {
+		fault := refusal(now, now.Add(900*time.Millisecond+left))
+		is.True(fault.RetryAfter > 0 && fault.RetryAfter <= left/3+minReturn && fault.RetryAfter <= left)
+		is.Equal(fault.Detail, unservedDetail)
+	}
+	totals[s.admissionKey(valueDemand).Offset(int(slotOf("other"))*maxRanks)] = 1
+	d.ApplyTotals(now.Add(time.Second), totals, aggregates.Values{})
+	is.Equal(refusal(now.Add(time.Second), now.Add(2*time.Second)).Detail, shareDetail)
+}
--- a/internal/core/dispatch/waiting.go
+++ b/internal/core/dispatch/waiting.go
@@ -217,9 +217,14 @@
 // returnWithin returns when the caller of a task that is refused at once may return, spread over
 // the part of its time within which it does so.
 func returnWithin(now time.Time, task *Task) time.Duration {
-	latest := time.Duration(returnFraction * float64(task.Request.Deadline.Sub(now)))
+	left := task.Request.Deadline.Sub(now)
+	latest := time.Duration(returnFraction * float64(left))
 	if latest < minReturn {
-		return returnTime(task, minReturn)
+		wait := returnTime(task, minReturn)
+		if left > 0 {
+			wait = min(wait, left)
+		}
+		return wait
 	}
 	return minReturn + time.Duration(returnSpread(task)*float64(min(latest, maxReturn)-minReturn))
 }
