--- a/internal/core/dispatch/admission_test.go
+++ b/internal/core/dispatch/admission_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"strconv"
 	"testing"
 	"time"
 
@@ -236,7 +237,7 @@
 	s := d.service("desk")
 	refusal := func(arrived, deadline time.Time) *faults.Error {
 		for i := range 1000 {
-			if _, fault := d.Admit(arrived, Request{ID: fmt.Sprint(i), Route: newDeskRoute(), ArrivedAt: arrived, Deadline: deadline}); fault != nil {
+			if _, fault := d.Admit(arrived, Request{ID: strconv.Itoa(i), Route: newDeskRoute(), ArrivedAt: arrived, Deadline: deadline}); fault != nil {
 				return fault
 			}
 		}
