--- a/internal/core/dispatch/small_upstreams_test.go
+++ b/internal/core/dispatch/small_upstreams_test.go
@@ -396,6 +396,7 @@
 	} {
 		for _, instances := range []int{9, 81, 300} {
 			t.Run(fmt.Sprintf("%s/%d", c.name, instances), func(t *testing.T) {
+				t.Parallel()
 				f := newSmallFleet(instances, c.load)
 				f.run()
 				requests := float64(f.requests)
@@ -426,6 +427,7 @@
 	} {
 		for _, instances := range []int{9, 81, 300} {
 			t.Run(fmt.Sprintf("%s/%d", c.name, instances), func(t *testing.T) {
+				t.Parallel()
 				f := newSmallFleet(instances, c.load)
 				f.run()
 				requests := float64(f.requests)
--- a/internal/core/dispatch/warmup_test.go
+++ b/internal/core/dispatch/warmup_test.go
@@ -303,6 +303,7 @@
 		"many instances, few upstreams": {instances: 66, upstreams: 8, play: crashQuarter(2 * time.Second), minServed: 0.95},
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			is := is.New(t)
 			f := newColdFleet(load)
 			f.AdvanceTo(coldEnd)
