--- a/internal/core/dispatch/paces.go
+++ b/internal/core/dispatch/paces.go
@@ -152,15 +152,22 @@
 
 // compareUsage compares the usage of each of the upstreams that get work with their mean.
 func compareUsage(now time.Time, upstreams []*placement.Upstream, usualWork float64) {
+	oldest := now
+	for _, u := range upstreams {
+		if u.RegisteredAt().Before(oldest) {
+			oldest = u.RegisteredAt()
+		}
+	}
 	sum, count := 0.0, 0
 	for _, u := range upstreams {
-		if u.Comparable(now) {
+		if u.Comparable(now, oldest) {
 			sum += u.Usage(now)
 			count++
 		}
 	}
+	isCalm := float64(count) >= minComparable*float64(len(upstreams))
 	for _, u := range upstreams {
-		if u.Comparable(now) {
+		if isCalm && u.Comparable(now, oldest) {
 			u.CompareUsage(now, sum/float64(count), usualWork)
 		} else {
 			u.ResetUsage()
@@ -168,6 +175,12 @@
 	}
 }
 
+// minComparable is the part of the upstreams that must be comparable for any to be compared. While
+// more come, go or fail, prompts lose their caches anyway, and calls that are diverted in
+// addition cost more reading than even work gains: on a heavy day, 19% more shared tokens
+// were read again.
+const minComparable = 0.9
+
 // observeStart fits the estimator of the call's model to the wait for the start of its answer.
 // The wait is divided by the upstream's pace, since the estimator is that of all upstreams.
 func (d *Dispatcher) observeStart(now time.Time, task *Task, call *Call) {
--- a/internal/core/dispatch/paces_test.go
+++ b/internal/core/dispatch/paces_test.go
@@ -278,3 +278,22 @@
 		is.Equal(u.Pace(now), 1.0)
 	}
 }
+
+// TestNoCallsAreDivertedWhileUpstreamsFail guards against prompts that lose their caches to even
+// work while many upstreams fail, so that the others are short of time.
+func TestNoCallsAreDivertedWhileUpstreamsFail(t *testing.T) {
+	is := is.New(t)
+	s := mixedRollout(8, 4)
+	old := s.upstreamsByVersion("v2", false)
+	totals := aggregates.Values{}
+	for _, u := range old {
+		totals[upstreamKey(valueFlow, u)] = 2000
+	}
+	totals[upstreamKey(valueFlow, old[1])] = 4000
+	s.usualWork = 50
+	s.applyFlows(now, totals, aggregates.Values{})
+	is.True(old[1].Overused())
+	old[5].RecordFailure(now, true)
+	s.applyFlows(now, totals, aggregates.Values{})
+	is.True(!old[1].Overused())
+}
--- a/internal/core/placement/flow.go
+++ b/internal/core/placement/flow.go
@@ -91,10 +91,19 @@
 	u.overused, u.flow.keep = false, 0
 }
 
-// Comparable reports whether the upstream's recent work may be compared with that of others. It
-// may not while the upstream is meant to get little work or none.
-func (u *Upstream) Comparable(now time.Time) bool {
-	return u.paced && u.Usable() && !u.evacuated && !u.IsCold(now) && u.CooldownOver(now)
+// RegisteredAt returns when the upstream became known to this instance.
+func (u *Upstream) RegisteredAt() time.Time {
+	return u.registeredAt
+}
+
+// Comparable reports whether the upstream's recent work may be compared with that of others, the
+// oldest of which became known at the given time. It may not while the upstream is meant to get
+// little work or none, nor while it has come so much later that its recent work is less: a mean with
+// it would make the others count as overused, and all would turn to it with keys that it has not
+// cached.
+func (u *Upstream) Comparable(now, oldest time.Time) bool {
+	isNew := u.registeredAt.Sub(oldest) > flowHalfLife/8 && now.Sub(u.registeredAt) < flowHalfLife
+	return u.paced && u.Usable() && !u.evacuated && !u.IsCold(now) && u.CooldownOver(now) && !isNew
 }
 
 // spread returns the index of the first candidate from which the call is not diverted, in the
--- a/internal/core/placement/flow_test.go
+++ b/internal/core/placement/flow_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"mimosayard/internal/core/catalog"
 )
 
 // TestOverusedUpstreamPassesCallsOn guards against two faults: a cache holder that keeps all calls
@@ -45,3 +47,20 @@
 	u.CompareUsage(now, 30, 60)
 	is.True(u.flow.keep > 0.8)
 }
+
+// TestNewUpstreamsAreNotCompared guards against a fleet that turns to upstreams which have just come,
+// since they have had little work, with keys that these have not cached.
+func TestNewUpstreamsAreNotCompared(t *testing.T) {
+	is := is.New(t)
+	var old, late Upstream
+	lateAt := now.Add(time.Minute)
+	for u, at := range map[*Upstream]time.Time{&old: now, &late: lateAt} {
+		u.SetEntry(at, catalog.Upstream{ID: "u", Ready: true})
+		u.RecordLoad(at, ReportedLoad{Slots: 4, Pace: 1})
+	}
+	is.True(old.Comparable(lateAt, now))
+	is.True(!late.Comparable(lateAt, now))
+	is.True(late.Comparable(lateAt.Add(flowHalfLife), now))
+	// All are new to an instance that has just started.
+	is.True(late.Comparable(lateAt, lateAt))
+}
