Bound stated paces only where they are recorded

RecordLoad and Pace bound a pace already; spread.go bounded it three times more. Only the fleet's mean still needed it, where it is set. No behaviour changes; TestAbsurdPacesAreBounded passes as it is.

--- a/internal/core/placement/spread.go
+++ b/internal/core/placement/spread.go
@@ -38,37 +38,26 @@
 
 // SetFleetPace records the mean pace in the reports that the fleet has had lately.
 func (u *Upstream) SetFleetPace(now time.Time, pace float64) {
-	u.fleetPace = fleetPace{pace, now}
+	u.fleetPace = fleetPace{clampPace(pace, maxPace), now}
 }
 
-// RecentReport returns what the upstream has reported to this instance lately, with a bounded
-// pace, and false if it has reported no pace.
+// RecentReport returns what the upstream has reported to this instance lately, and false if it
+// has reported no pace.
 func (u *Upstream) RecentReport(now time.Time) (ReportedLoad, bool) {
-	report := u.reported.ReportedLoad
-	ok := report.Pace > 0 && now.Sub(u.reported.at) < reportTTL
-	report.Pace = boundPace(report.Pace)
-	return report, ok
-}
-
-// boundPace returns the pace within its bounds, 1 if it is none. Upstreams may report anything.
-func boundPace(pace float64) float64 {
-	if !(pace > 0) {
-		return 1
-	}
-	return clampPace(pace, maxPace)
+	return u.reported.ReportedLoad, u.reported.Pace > 0 && now.Sub(u.reported.at) < reportTTL
 }
 
 // presentPace returns the pace by the latest of the reports that this instance and the others
 // have had. It is 1, the most likely, when none is recent.
 func (u *Upstream) presentPace(now time.Time) float64 {
 	if _, ok := u.RecentReport(now); ok {
-		return boundPace(u.Pace(now))
+		return u.Pace(now)
 	}
 	if u.fleetPace.pace > 0 && now.Sub(u.fleetPace.at) < reportTTL {
-		return boundPace(u.fleetPace.pace)
+		return u.fleetPace.pace
 	}
 	if u.StatesPace() && now.Sub(u.reported.at) < statedPaceTTL {
-		return boundPace(u.Pace(now))
+		return u.Pace(now)
 	}
 	return 1
 }
