Admit requests by the time at which they were read

Admission got the arrival of a request for the present time, so the dispatcher kept the latest time of any event to correct the Retry-After of a request with a slow body, up to one exchange of sums late. The front door now passes the present time, and that state is gone.

--- a/internal/core/dispatch/admission.go
+++ b/internal/core/dispatch/admission.go
@@ -36,9 +36,6 @@
 	admitted map[teamSlot]rankRates
 	// knowsShares is true if the fleet's sums show what several teams send.
 	knowsShares bool
-	// latest is the latest time of an event. A request is admitted as of its arrival, which may be
-	// long ago if its body was slow.
-	latest time.Time
 	// refused counts the requests that this instance has refused.
 	refused int
 }
@@ -199,7 +196,6 @@
 		return
 	}
 	a.active = true
-	a.latestTime(now)
 	if count >= minWorkSamples {
 		sum := totals.Others(reported, s.admissionKey(valueWorkTime)) + a.ownWork.milliseconds
 		a.workTime = max(time.Millisecond, time.Duration(sum/count*float64(time.Millisecond)))
@@ -426,20 +422,12 @@
 // did not run.
 func overCapacity(now time.Time, task *Task, detail string) *faults.Error {
 	fault := faults.New(faults.Overloaded, detail)
-	fault.RetryAfter = returnWithin(task.service.admission.latestTime(now), task)
+	fault.RetryAfter = returnWithin(now, task)
 	task.overCapacity = true
 	task.service.admission.refused++
 	return fault
 }
 
-// latestTime returns the later of the time and that of the latest event.
-func (a *admission) latestTime(now time.Time) time.Time {
-	if now.After(a.latest) {
-		a.latest = now
-	}
-	return a.latest
-}
-
 // Admission returns the number of requests that this instance has refused because the upstreams
 // of their services could not have served them in time, and the longest of the services' expected
 // times of an answer at their best upstreams.
--- a/internal/core/dispatch/admission_test.go
+++ b/internal/core/dispatch/admission_test.go
@@ -235,9 +235,9 @@
 	is := is.New(t)
 	d := newDesk(newDeskUpstreams("v1")...)
 	s := d.service("desk")
-	refusal := func(arrived, deadline time.Time) *faults.Error {
+	refusal := func(at, arrived, deadline time.Time) *faults.Error {
 		for i := range 1000 {
-			if _, fault := d.Admit(arrived, Request{ID: strconv.Itoa(i), Route: newDeskRoute(), ArrivedAt: arrived, Deadline: deadline}); fault != nil {
+			if _, fault := d.Admit(at, Request{ID: strconv.Itoa(i), Route: newDeskRoute(), ArrivedAt: arrived, Deadline: deadline}); fault != nil {
 				return fault
 			}
 		}
@@ -247,11 +247,11 @@
 	totals := deskTotals(d, 1000)
 	d.ApplyTotals(now.Add(900*time.Millisecond), totals, aggregates.Values{})
 	for _, left := range []time.Duration{20 * time.Millisecond, 150 * time.Millisecond, 600 * time.Millisecond} {
-		fault := refusal(now, now.Add(900*time.Millisecond+left))
+		fault := refusal(now.Add(900*time.Millisecond), now, now.Add(900*time.Millisecond+left))
 		is.True(fault.RetryAfter > 0 && fault.RetryAfter <= left/3+minReturn && fault.RetryAfter <= left)
 		is.Equal(fault.Detail, unservedDetail)
 	}
 	totals[s.admissionKey(valueDemand).Offset(int(slotOf("other"))*maxRanks)] = 1
 	d.ApplyTotals(now.Add(time.Second), totals, aggregates.Values{})
-	is.Equal(refusal(now.Add(time.Second), now.Add(2*time.Second)).Detail, shareDetail)
+	is.Equal(refusal(now.Add(time.Second), now.Add(time.Second), now.Add(2*time.Second)).Detail, shareDetail)
 }
--- a/internal/core/dispatch/task.go
+++ b/internal/core/dispatch/task.go
@@ -191,7 +191,8 @@
 	return true
 }
 
-// Admit accepts a request, or refuses it before it is sent to any upstream.
+// Admit accepts a request, or refuses it before it is sent to any upstream. Now is the time at
+// which the request was read, which may be long after its arrival.
 func (d *Dispatcher) Admit(now time.Time, request Request) (*Task, *faults.Error) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
--- a/internal/edge/ingress/ingress.go
+++ b/internal/edge/ingress/ingress.go
@@ -164,7 +164,7 @@
 	if x.isRejected() {
 		return shuttingDownFault()
 	}
-	task, fault := x.server.Dispatcher.Admit(x.arrived, x.dispatchRequest())
+	task, fault := x.server.Dispatcher.Admit(time.Now(), x.dispatchRequest())
 	if fault != nil {
 		return fault
 	}
