Wait for the evacuations as long as one may take to be in force

An instance that starts waited 6 s for the list of evacuations, which was the figure by which one platform extends its bounds. It is evacuate_ms now, which each deployment sets. The test holds the same with that time.

--- a/internal/instance/entry/entry.go
+++ b/internal/instance/entry/entry.go
@@ -109,10 +109,6 @@
 	// peers. Upstreams read most prompts in less than a second, so older loads
 	// tell little, and each level of the tree adds an interval.
 	peerCallInterval = 100 * time.Millisecond
-	// maxEvacuationsWait is the time after the start for which an instance that does not know the
-	// evacuations stays out of service. An unstable store may extend the time within which an
-	// evacuation is in force by as much, and an outage must not keep the fleet out of service.
-	maxEvacuationsWait = 6 * time.Second
 	// storeDialTimeout is the timeout for connecting to the store.
 	storeDialTimeout = time.Second
 )
@@ -340,9 +336,10 @@
 }
 
 // maySend reports whether the instance may send requests to upstreams: it knows which data centres
-// are evacuated, or has waited for that long enough.
+// are evacuated, or has waited for as long as an evacuation may take to be in force. An outage
+// of the store must not keep a fleet that has just started out of service.
 func (i *Instance) maySend() bool {
-	return i.evacuations == nil || i.evacuationsKnown.Load() || time.Since(i.started) > maxEvacuationsWait
+	return i.evacuations == nil || i.evacuationsKnown.Load() || time.Since(i.started) > i.settings.Shared.EvacuationTime()
 }
 
 // sinceShutdown returns the time since the shutdown began. It is zero before
--- a/internal/instance/entry/evacuation_test.go
+++ b/internal/instance/entry/evacuation_test.go
@@ -154,7 +154,7 @@
 // TestInstanceServesWithoutTheEvacuations guards against a fleet that stays out of service as long
 // as the store does not list the evacuations.
 func TestInstanceServesWithoutTheEvacuations(t *testing.T) {
-	f, _ := startWithoutEvacuations(t, time.Now().Add(-maxEvacuationsWait))
+	f, _ := startWithoutEvacuations(t, time.Now().Add(-evacuationBound))
 	is.New(t).NoErr(f.instances[0].checkReady())
 	is.New(t).Equal(f.status(0, http.MethodGet, "/safe/x"), http.StatusOK)
 }
