Read bodies and write answers within the budget in one place

Both front doors had the same loops, deadlines and constants to let a body or an answer lose its place, and the connections a third copy of one constant. Claim has ReadBody and WriteAnswer for both now. No behaviour changes; the tests of both doors and of the budget pass.

--- a/internal/edge/callers/answer.go
+++ b/internal/edge/callers/answer.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"net/http"
-	"time"
 
 	"mimosayard/internal/backend/upstreams"
 	"mimosayard/internal/core/faults"
@@ -92,27 +91,12 @@
 func (x *exchange) write(data []byte) error {
 	x.prepareWrite()
 	x.responseStarted = true
-	return x.writePieces(data)
+	return x.writePart(data)
 }
 
-// writePieces writes a part of the response for which prepareWrite was called. If the budget
-// is short, an answer that the caller does not take is cut off.
-func (x *exchange) writePieces(data []byte) error {
-	if len(data) > writePiece {
-		controller := http.NewResponseController(x.writer)
-		x.answerClaim.Watch(time.Now(), answerPatience, func() { _ = controller.SetWriteDeadline(past) })
-	}
-	for {
-		piece := data[:min(len(data), writePiece)]
-		if _, err := x.writer.Write(piece); err != nil {
-			return faults.New(faults.Canceled, err.Error())
-		}
-		if data = data[len(piece):]; len(data) == 0 {
-			break
-		}
-		x.answerClaim.Progress(len(piece))
-	}
-	if err := x.answerClaim.Keep(); err != nil {
+// writePart writes a part of the response for which prepareWrite was called.
+func (x *exchange) writePart(data []byte) error {
+	if err := x.answerClaim.WriteAnswer(x.writer, data); err != nil {
 		return faults.New(faults.Canceled, err.Error())
 	}
 	return nil
@@ -138,7 +122,7 @@
 	x.prepareWrite()
 	x.responseStarted = true
 	for _, part := range [...][]byte{eventStart, data, eventEnd} {
-		if err := x.writePieces(part); err != nil {
+		if err := x.writePart(part); err != nil {
 			return err
 		}
 	}
--- a/internal/edge/callers/plain.go
+++ b/internal/edge/callers/plain.go
@@ -221,5 +221,5 @@
 	x.prepareWrite()
 	x.responseStarted = true
 	x.writer.WriteHeader(answer.Status)
-	return x.writePieces(answer.Body)
+	return x.writePart(answer.Body)
 }
--- a/internal/edge/callers/server.go
+++ b/internal/edge/callers/server.go
@@ -184,14 +184,7 @@
 // budget has no room for is Overloaded, or SlowRequest if it lost its place.
 func (x *exchange) readBody() ([]byte, error) {
 	x.setReadDeadline()
-	controller := http.NewResponseController(x.writer)
-	if length := x.request.ContentLength; length < 0 || length > budget.BodyFloor {
-		x.bodyClaim.Watch(time.Now(), bodyPatience, func() { _ = controller.SetReadDeadline(past) })
-	}
-	data, err := x.bodyClaim.Read(http.MaxBytesReader(x.writer, x.request.Body, x.server.MaxBodyBytes), x.request.ContentLength)
-	if evicted := x.bodyClaim.Keep(); evicted != nil {
-		err = evicted
-	}
+	data, err := x.bodyClaim.ReadBody(x.writer, x.request, x.server.MaxBodyBytes)
 	if err == nil {
 		err = budget.ConnOf(x.request).Pass()
 	}
@@ -210,19 +203,6 @@
 	return nil, faults.New(faults.BadRequest, "the body was cut off")
 }
 
-const (
-	// bodyPatience and answerPatience are how long a caller may send or take less than
-	// budget.Claim counts as progress while others need its room. An answer has
-	// more, since its request has run.
-	bodyPatience   = 500 * time.Millisecond
-	answerPatience = 2 * time.Second
-	// writePiece is the part of an answer after which its progress is counted.
-	writePiece = 32 << 10
-)
-
-// past is a deadline that has passed.
-var past = time.Unix(1, 0)
-
 // boundRest bounds the rest of a body that was not read to its end, which net/http reads
 // before the next request. It is not read after a body that was refused on its way.
 func (x *exchange) boundRest(fault *faults.Error) {
--- a/internal/edge/ingress/budget_test.go
+++ b/internal/edge/ingress/budget_test.go
@@ -110,7 +110,7 @@
 		for ti.server.Budget.Held() == 0 {
 			time.Sleep(time.Millisecond)
 		}
-		time.Sleep(2 * bodyPatience)
+		time.Sleep(2 * budget.BodyPatience)
 		response, _, err := ti.do(t, ti.request(t, http.MethodPost, "/unsafe/x", strings.Repeat("b", 60000)))
 		assertStatus(t, response, err, http.StatusOK)
 		response, err = http.ReadResponse(bufio.NewReader(conn), nil)
--- a/internal/edge/ingress/calls.go
+++ b/internal/edge/ingress/calls.go
@@ -46,9 +46,6 @@
 // maxResponseBytes bounds a response that is buffered in memory.
 const maxResponseBytes = 16 << 20
 
-// writePiece is the part of a buffered response after which its progress is counted.
-const writePiece = 32 << 10
-
 // makeCall makes one call to an upstream. It reports whether the request is
 // done, that is, whether no further call may follow.
 func (x *exchange) makeCall(parent context.Context, call *dispatch.Call) (done bool, err error) {
@@ -311,22 +308,7 @@
 	x.headerWritten = true
 	x.setWriteDeadline()
 	x.writer.WriteHeader(response.status)
-	if len(response.body) <= writePiece {
-		if _, err := x.writer.Write(response.body); err != nil {
-			return errCallerDisconnected
-		}
-		return nil
-	}
-	x.answerClaim.Watch(time.Now(), answerPatience, func() { _ = x.controller.SetWriteDeadline(past) })
-	for rest := response.body; len(rest) > 0; {
-		piece := rest[:min(len(rest), writePiece)]
-		if _, err := x.writer.Write(piece); err != nil {
-			return errCallerDisconnected
-		}
-		x.answerClaim.Progress(len(piece))
-		rest = rest[len(piece):]
-	}
-	if x.answerClaim.Keep() != nil {
+	if x.answerClaim.WriteAnswer(x.writer, response.body) != nil {
 		return errCallerDisconnected
 	}
 	return nil
--- a/internal/edge/ingress/ingress.go
+++ b/internal/edge/ingress/ingress.go
@@ -103,11 +103,6 @@
 	// callerIOTimeout bounds the read of the request body, and each write of a
 	// part of the response.
 	callerIOTimeout = 10 * time.Second
-	// bodyPatience and answerPatience are how long a caller may send or take less than
-	// budget.Claim counts as progress while others need its room. An answer has
-	// more, since its request has run.
-	bodyPatience   = 500 * time.Millisecond
-	answerPatience = 2 * time.Second
 	// balancerWindow is the time after the start of shutdown during which all
 	// requests are accepted. By its end the load balancer sends new connections
 	// to other instances.
@@ -257,13 +252,7 @@
 		return nil
 	}
 	_ = x.controller.SetReadDeadline(time.Now().Add(callerIOTimeout))
-	if length := x.request.ContentLength; length < 0 || length > budget.BodyFloor {
-		x.bodyClaim.Watch(time.Now(), bodyPatience, func() { _ = x.controller.SetReadDeadline(past) })
-	}
-	data, err := x.bodyClaim.Read(http.MaxBytesReader(x.writer, x.request.Body, limit), x.request.ContentLength)
-	if evicted := x.bodyClaim.Keep(); evicted != nil {
-		err = evicted
-	}
+	data, err := x.bodyClaim.ReadBody(x.writer, x.request, limit)
 	_ = x.controller.SetReadDeadline(time.Time{})
 	var (
 		tooLarge *http.MaxBytesError
@@ -285,9 +274,6 @@
 	return faults.New(faults.BadRequest, "the request body ended early")
 }
 
-// past is a deadline that has passed.
-var past = time.Unix(1, 0)
-
 // defaultBodyBytes bounds a request body if the configuration sets no limit.
 const defaultBodyBytes = 4 << 20
 
--- a/internal/edge/ingress/readahead.go
+++ b/internal/edge/ingress/readahead.go
@@ -16,6 +16,9 @@
 	maxUnreadBytes = 256 << 10
 )
 
+// past is a deadline that has passed.
+var past = time.Unix(1, 0)
+
 // errCallerSlow ends a stream whose caller takes too little for the bound on its unread
 // events.
 var errCallerSlow = errors.New("the caller does not read the stream")
--- a/internal/net/budget/connections.go
+++ b/internal/net/budget/connections.go
@@ -71,10 +71,8 @@
 	// collector. A head of fields of a few bytes takes 25 times its size.
 	headBytesCost = 3
 	headLineCost  = 200
-	// headPatience and bodyPatience are how long a head or a body may stall while
-	// others need its place.
+	// headPatience is how long a head may stall while others need its place.
 	headPatience = 250 * time.Millisecond
-	bodyPatience = 500 * time.Millisecond
 )
 
 // connKey is the key of the connection in the context of a request.
@@ -183,7 +181,7 @@
 	for c := range s.conns {
 		phase := c.phase.Load()
 		switch age := now.Sub(c.since); {
-		case phase >= phasePassed, phase == phaseHead && age < headPatience, phase == phaseBody && age < bodyPatience:
+		case phase >= phasePassed, phase == phaseHead && age < headPatience, phase == phaseBody && age < BodyPatience:
 			continue
 		}
 		if victim == nil || phase < victim.phase.Load() || phase == victim.phase.Load() && c.since.Before(victim.since) {
