Pace cold upstreams and named limits by one credit

The limit that an upstream names and the bound of a cold one each had their own saved calls, refill and time of the next call, alike but for the burst. Limit holds a Credit now.

--- a/internal/core/pacing/changes.go
+++ b/internal/core/pacing/changes.go
@@ -23,7 +23,7 @@
 	if c.latest == nil {
 		c.latest = map[tables.UpstreamID]Change{}
 	}
-	c.latest[upstream] = Change{upstream, l.named, l.rate, l.share}
+	c.latest[upstream] = Change{upstream, l.named, l.rate, l.Share()}
 }
 
 // Take returns the changes since the last call.
--- a/internal/core/pacing/pacing.go
+++ b/internal/core/pacing/pacing.go
@@ -30,11 +30,8 @@
 	answeredAt  time.Time
 	answerRate  Rate
 	answerNamed bool
-	// share is this instance's part of the rate. credit is the number of calls that it may
-	// send at once, as of creditedAt.
-	share      Rate
-	credit     float64
-	creditedAt time.Time
+	// credit bounds this instance's calls by its part of the rate.
+	credit Credit
 }
 
 // A Statement is what the latest answers to all instances say of a limit.
@@ -68,7 +65,7 @@
 
 // Share returns this instance's part of the limit.
 func (l *Limit) Share() Rate {
-	return l.share
+	return l.credit.Share()
 }
 
 // RecordAnswer records whether an answer to this instance names a limit, and which one. It
@@ -119,40 +116,27 @@
 
 // SetShare sets this instance's part of the limit.
 func (l *Limit) SetShare(now time.Time, share Rate) {
-	l.refill(now)
-	l.share = share
-	if share <= 0 {
-		l.credit = min(0, l.credit)
-	}
+	l.credit.SetShare(now, share)
 }
 
 // Allows reports whether one more call is within this instance's share.
 func (l *Limit) Allows(now time.Time) bool {
-	if !l.named {
-		return true
-	}
-	l.refill(now)
-	return l.credit >= 1
+	return !l.named || l.credit.Allows(now)
 }
 
 // RecordCall counts a call that is sent.
 func (l *Limit) RecordCall(now time.Time) {
 	if l.named {
-		l.refill(now)
-		l.credit--
+		l.credit.RecordCall(now)
 	}
 }
 
 // AllowsAt returns when one more call is within this instance's share, zero if it has none.
 func (l *Limit) AllowsAt(now time.Time) time.Time {
-	switch {
-	case l.Allows(now):
+	if !l.named {
 		return now
-	case l.share <= 0:
-		return time.Time{}
 	}
-	// The credit must have reached one when the time has come.
-	return now.Add(time.Duration((1-l.credit)/float64(l.share)*float64(time.Second)) + time.Microsecond)
+	return l.credit.AllowsAt(now)
 }
 
 // holdTime returns how long the limit holds without an answer that confirms it.
@@ -164,7 +148,8 @@
 func (l *Limit) set(now time.Time, rate Rate) bool {
 	changed := !l.named || math.Abs(float64(rate-l.notedRate)) > notableChange*float64(l.notedRate)
 	if !l.named {
-		l.credit, l.creditedAt = 0, now
+		l.credit.burst = burstTime
+		l.credit.Start(now, l.credit.share)
 	}
 	if changed {
 		l.notedRate = rate
@@ -172,12 +157,3 @@
 	l.named, l.rate, l.confirmedAt = true, rate, now
 	return changed
 }
-
-// refill adds the share of the time since the last call of refill.
-func (l *Limit) refill(now time.Time) {
-	if elapsed := now.Sub(l.creditedAt); elapsed > 0 {
-		most := max(1, float64(l.share)*burstTime.Seconds())
-		l.credit = min(most, l.credit+float64(l.share)*elapsed.Seconds())
-	}
-	l.creditedAt = now
-}
--- a/internal/core/pacing/warmup.go
+++ b/internal/core/pacing/warmup.go
@@ -1,7 +1,6 @@
 package pacing
 
 import (
-	"math"
 	"math/bits"
 	"time"
 
@@ -35,14 +34,6 @@
 	generation uint64
 }
 
-// Credit bounds the calls of one instance to a cold upstream: at most one is saved up. The zero
-// value allows none. It is not safe for concurrent use.
-type Credit struct {
-	share  Rate
-	credit float64
-	at     time.Time
-}
-
 const (
 	// memberMemory is how long an instance counts after it was last known to be up. It may be
 	// cut off and still call, as may this one.
@@ -155,59 +146,3 @@
 	x *= 0xc4ceb9fe1a85ec53
 	return x ^ x>>33
 }
-
-// Start begins to count anew, without a saved call.
-func (c *Credit) Start(now time.Time, share Rate) {
-	*c = Credit{share: share, at: now}
-}
-
-// SetShare sets the rate of this instance.
-func (c *Credit) SetShare(now time.Time, share Rate) {
-	c.refill(now)
-	c.share = share
-	if share <= 0 {
-		c.credit = min(0, c.credit)
-	}
-}
-
-// Share returns the rate of this instance.
-func (c *Credit) Share() Rate {
-	return c.share
-}
-
-// Allows reports whether one more call is within the rate.
-func (c *Credit) Allows(now time.Time) bool {
-	c.refill(now)
-	return c.credit >= 1
-}
-
-// RecordCall counts a call that is sent.
-func (c *Credit) RecordCall(now time.Time) {
-	c.refill(now)
-	c.credit--
-}
-
-// ReturnCall takes back a call that does not count.
-func (c *Credit) ReturnCall() {
-	c.credit = min(1, c.credit+1)
-}
-
-// AllowsAt returns when one more call is within the rate, zero if that is zero.
-func (c *Credit) AllowsAt(now time.Time) time.Time {
-	switch {
-	case c.Allows(now):
-		return now
-	case c.share <= 0:
-		return time.Time{}
-	}
-	// The credit must have reached one when the time has come.
-	return now.Add(time.Duration(math.Ceil((1-c.credit)/float64(c.share)*float64(time.Second))) + time.Microsecond)
-}
-
-// refill adds the share of the time since the last call of refill.
-func (c *Credit) refill(now time.Time) {
-	if elapsed := now.Sub(c.at); elapsed > 0 {
-		c.credit = min(1, c.credit+float64(c.share)*elapsed.Seconds())
-	}
-	c.at = now
-}
