--- a/internal/core/dispatch/warmup.go
+++ b/internal/core/dispatch/warmup.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -35,10 +36,7 @@
 func (d *Dispatcher) WarmUpChanges() []WarmUpChange {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	changes := make([]WarmUpChange, 0, len(d.warmUpChanges))
-	for _, change := range d.warmUpChanges {
-		changes = append(changes, change)
-	}
+	changes := slices.Collect(maps.Values(d.warmUpChanges))
 	clear(d.warmUpChanges)
 	return changes
 }
