Start programs and instances of tests in one place

The tests of processes and those of crowds built the programs by two copies of the same code, and three tests of the entry started an instance each with its own goroutine and its own end. One function builds the programs and one starts an instance; goroutines of these tests run in a group. The assertions are unchanged. The tests of the four packages pass.

--- a/internal/edge/ingress/budget_test.go
+++ b/internal/edge/ingress/budget_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"golang.org/x/sync/errgroup"
 
 	"mimosayard/internal/net/budget"
 )
@@ -28,13 +29,14 @@
 // slowReader returns a reader of size bytes in pieces with a pause after each.
 func slowReader(size, pieces int, pause time.Duration) io.Reader {
 	reader, writer := io.Pipe()
-	go func() {
+	var group errgroup.Group
+	group.Go(func() error {
 		for range pieces {
 			_, _ = writer.Write(make([]byte, size/pieces))
 			time.Sleep(pause)
 		}
-		_ = writer.Close()
-	}()
+		return writer.Close()
+	})
 	return reader
 }
 
--- a/internal/edge/ingress/quarantine_test.go
+++ b/internal/edge/ingress/quarantine_test.go
@@ -107,10 +107,12 @@
 	x.contentPart = sync.OnceValue(func() quarantine.PartID {
 		hashed++
 		free := make(chan struct{})
-		go func() {
+		var group errgroup.Group
+		group.Go(func() error {
+			defer close(free)
 			d.SuspectsRequests()
-			close(free)
-		}()
+			return nil
+		})
 		select {
 		case <-free:
 		case <-time.After(time.Second):
--- a/internal/edge/ingress/readahead_test.go
+++ b/internal/edge/ingress/readahead_test.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"golang.org/x/sync/errgroup"
 
 	"mimosayard/internal/backend/forward"
 	"mimosayard/internal/core/catalog"
@@ -50,15 +51,16 @@
 		x := &exchange{controller: http.NewResponseController(recorder)}
 		x.answerClaim.Init(budget.New(bytes), 0)
 		r := &eventReader{exchange: x, reader: bufio.NewReader(upstream), onRead: func(time.Time) {}, onEnd: func() {}}
-		go func() {
+		var group errgroup.Group
+		group.Go(func() error {
 			for n := range events {
 				if _, err := fmt.Fprintf(sender, "id: %d\ndata: %s\n\n", n+1, strings.Repeat(".", eventBytes)); err != nil {
-					return
+					return err
 				}
 				sent++
 			}
-			_ = sender.Close()
-		}()
+			return sender.Close()
+		})
 		first, err := r.next()
 		is.New(t).NoErr(err)
 		is.New(t).Equal(first.id, "1")
@@ -139,12 +141,14 @@
 	}
 	upstream, sender := io.Pipe()
 	result := make(chan dispatch.Result, 1)
-	go func() {
+	var group errgroup.Group
+	group.Go(func() error {
 		defer cancel(nil)
 		defer func() { _ = upstream.Close() }()
 		r, _, _ := x.relayStream(ctx, cancel, call, &forward.Response{Status: http.StatusOK, Header: http.Header{}, Body: upstream})
 		result <- r
-	}()
+		return nil
+	})
 	return d, task, call, sender, result
 }
 
--- a/internal/evaluation/crowds/crowds_test.go
+++ b/internal/evaluation/crowds/crowds_test.go
@@ -56,12 +56,8 @@
 	gathered := &sync.WaitGroup{}
 	everyone := make(chan struct{})
 	for n := range c.callers {
-		all.Add(1)
 		gathered.Add(1)
-		go func() {
-			defer all.Done()
-			c.join(d, n, sync.OnceFunc(gathered.Done), everyone, leave)
-		}()
+		all.Go(func() { c.join(d, n, sync.OnceFunc(gathered.Done), everyone, leave) })
 	}
 	waitFor(gathered, gatherTimeout)
 	close(everyone)
--- a/internal/evaluation/crowds/door_test.go
+++ b/internal/evaluation/crowds/door_test.go
@@ -52,27 +52,11 @@
 
 // TestMain builds the programs before the tests and removes them afterwards.
 func TestMain(m *testing.M) {
-	os.Exit(runTests(m))
-}
-
-// runTests builds the programs, runs the tests and returns the exit code.
-func runTests(m *testing.M) int {
 	flag.Parse()
 	if !*runCrowds {
-		return m.Run()
-	}
-	directory, err := os.MkdirTemp("", "mimosayard-crowds-")
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return 1
-	}
-	defer os.RemoveAll(directory)
-	binaryDirectory = directory
-	if err := programs.Build(directory); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return 1
+		os.Exit(m.Run())
 	}
-	return m.Run()
+	os.Exit(programs.RunTests(m, &binaryDirectory))
 }
 
 // nextSubnet returns the first three bytes of the addresses of a test.
--- a/internal/evaluation/processes/harness_test.go
+++ b/internal/evaluation/processes/harness_test.go
@@ -95,23 +95,7 @@
 
 // TestMain builds the programs before the tests and removes them afterwards.
 func TestMain(m *testing.M) {
-	os.Exit(runTests(m))
-}
-
-// runTests builds the programs, runs the tests and returns the exit code.
-func runTests(m *testing.M) int {
-	directory, err := os.MkdirTemp("", "mimosayard-processes-")
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return 1
-	}
-	defer os.RemoveAll(directory)
-	binaryDirectory = directory
-	if err := programs.Build(directory); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return 1
-	}
-	return m.Run()
+	os.Exit(programs.RunTests(m, &binaryDirectory))
 }
 
 // newFleet starts the stand-ins and the given number of instances, applies the
--- a/internal/evaluation/programs/programs.go
+++ b/internal/evaluation/programs/programs.go
@@ -5,10 +5,13 @@
 import (
 	"bytes"
 	"fmt"
+	"os"
 	"os/exec"
 	"path/filepath"
 	"syscall"
 	"testing"
+
+	"golang.org/x/sync/errgroup"
 )
 
 // A Process is a started program.
@@ -21,8 +24,25 @@
 	Done <-chan struct{}
 }
 
-// Build builds the programs mimosayard and standins into a directory.
-func Build(directory string) error {
+// RunTests builds the programs mimosayard and standins into a temporary directory, which it stores
+// in *directory, runs the tests, and returns the exit code.
+func RunTests(m *testing.M, directory *string) int {
+	temporary, err := os.MkdirTemp("", "mimosayard-programs-")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer func() { _ = os.RemoveAll(temporary) }()
+	*directory = temporary
+	if err := build(temporary); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	return m.Run()
+}
+
+// build builds the programs into a directory.
+func build(directory string) error {
 	for _, name := range []string{"mimosayard", "standins"} {
 		build := exec.Command("go", "build", "-o", filepath.Join(directory, name), "mimosayard/cmd/"+name) //nolint:gosec,noctx // The names are fixed.
 		if output, err := build.CombinedOutput(); err != nil {
@@ -41,10 +61,11 @@
 	if err := command.Start(); err != nil {
 		t.Fatal(err)
 	}
-	go func() {
+	var group errgroup.Group
+	group.Go(func() error {
 		defer close(done)
-		_ = command.Wait()
-	}()
+		return command.Wait()
+	})
 	t.Cleanup(func() {
 		_ = command.Process.Signal(syscall.SIGCONT)
 		_ = command.Process.Kill()
--- a/internal/instance/entry/evacuation_test.go
+++ b/internal/instance/entry/evacuation_test.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"context"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
@@ -41,15 +40,7 @@
 	n := len(f.instances)
 	i := f.newInstance(n)
 	f.store = store
-	ctx, cancel := context.WithCancel(context.Background())
-	ended := make(chan error, 1)
-	i.stop = cancel
-	go func() { ended <- i.Run(ctx) }()
-	f.t.Cleanup(func() {
-		cancel()
-		<-ended
-	})
-	f.instances = append(f.instances, i)
+	f.start(i)
 	f.await("the refused instance serves", func() bool { return f.status(n, http.MethodGet, "/safe/x") == http.StatusOK })
 }
 
@@ -120,15 +111,7 @@
 	t.Cleanup(f.store.CloseClientConnections)
 	i := f.newInstance(0)
 	i.started = started
-	ctx, cancel := context.WithCancel(context.Background())
-	i.stop = cancel
-	ended := make(chan error, 1)
-	go func() { ended <- i.Run(ctx) }()
-	t.Cleanup(func() {
-		cancel()
-		<-ended
-	})
-	f.instances = append(f.instances, i)
+	f.start(i)
 	f.await("the instance knows the configuration and the upstreams", func() bool {
 		return i.dispatcher.Index() != nil && i.dispatcher.UsableUpstreamCount() == 2 && f.status(0, http.MethodGet, "/safe/x") > 0
 	})
--- a/internal/instance/entry/links_test.go
+++ b/internal/instance/entry/links_test.go
@@ -36,6 +36,7 @@
 	upstreams []*httptest.Server
 	standIns  []*sharedplatform.Upstream
 	instances []*testInstance
+	running   errgroup.Group
 	requests  atomic.Int64
 }
 
@@ -71,6 +72,14 @@
 	return nil, &net.OpError{Op: "dial", Net: "tcp", Err: os.ErrDeadlineExceeded}
 }
 
+// start starts an instance, which the end of the test stops.
+func (f *testFleet) start(i *testInstance) {
+	ctx, cancel := context.WithCancel(context.Background())
+	i.stop = cancel
+	f.instances = append(f.instances, i)
+	f.running.Go(func() error { return i.Run(ctx) })
+}
+
 // newTestFleet starts a store, upstreams and instances, and waits until all serve.
 func newTestFleet(t *testing.T, instances, upstreams int) *testFleet {
 	t.Helper()
@@ -102,20 +111,15 @@
 		f.putObject("servers", id, fmt.Sprintf(`{"service":"s","address":%q,"zone":"dc-0","version":"v1","slots":64,"state":"ready","born":7,"sequence":1}`,
 			server.Listener.Addr()))
 	}
-	group := &errgroup.Group{}
-	for n := range instances {
-		ctx, cancel := context.WithCancel(context.Background())
-		i := f.newInstance(n)
-		i.stop = cancel
-		f.instances = append(f.instances, i)
-		group.Go(func() error { return i.Run(ctx) })
-	}
 	t.Cleanup(func() {
 		for _, i := range f.instances {
 			i.stop()
 		}
-		_ = group.Wait()
+		_ = f.running.Wait()
 	})
+	for n := range instances {
+		f.start(f.newInstance(n))
+	}
 	for n, i := range f.instances {
 		f.await(fmt.Sprintf("instance %d knows the others and serves", n), func() bool {
 			return len(i.node.Members()) == instances && f.status(n, "GET", "/safe/x") == http.StatusOK
