Show answers lost to callers that do not read for some seconds

Cause: the user timeout of TCP, which is to find dead peers, also ends a connection whose peer acknowledges all probes and has no room for more data.

--- a/review/second/main.go
+++ b/review/second/main.go
@@ -25,8 +25,10 @@
 
 // cases holds the cases by name. Each returns the number of times that its rule was broken.
 var cases = map[string]func(l *lab, trouble bool) (int, error){
-	"second-answer": runSecondAnswer,
-	"slashes":       runSlashes,
+	"second-answer":   runSecondAnswer,
+	"slashes":         runSlashes,
+	"pausing-readers": runPausingReaders,
+	"steady-readers":  runSteadyReaders,
 }
 
 func main() {
