--- a/review/second/lab.go
+++ b/review/second/lab.go
@@ -76,6 +76,8 @@
 	key  = "n2ctnfzs989anu6wsjnb"
 	// readyTimeout bounds the start of a process.
 	readyTimeout = 10 * time.Second
+	// contactTime is longer than the contact_ms of any site in force, 4,000.
+	contactTime = 5 * time.Second
 )
 
 // newLab starts a store in a temporary folder.
@@ -170,6 +172,16 @@
 	return i, l.await(func() bool { return l.status("http://"+i.ready+"/readyz") == http.StatusOK })
 }
 
+// awaitContact waits until the instances count as in touch, which they are contactTime after their
+// start.
+func (l *lab) awaitContact() {
+	time.Sleep(contactTime)
+	l.note("the instances have run for %v", contactTime)
+}
+
+// errNothingShown is returned for a case that could not show anything.
+var errNothingShown = errors.New("the traffic of the case was not served, or nothing was disrupted")
+
 // startInstances starts three instances, one in each zone.
 func (l *lab) startInstances() ([]*instance, error) {
 	var instances []*instance
--- a/review/second/secondanswer.go
+++ b/review/second/secondanswer.go
@@ -11,10 +11,10 @@
 )
 
 const (
-	// troubleTime is how long two of three servers are faulty.
+	// troubleTime is how long two of four servers are faulty.
 	troubleTime = 5 * time.Second
-	// spoiledEvery is the number of answers of such a server of which one is spoiled: 3 in 100.
-	spoiledEvery = 33
+	// spoiledEvery is the number of answers of such a server of which one is spoiled, less than 3 in 100.
+	spoiledEvery = 34
 )
 
 // ledger remembers the body that a server has made for each request.
@@ -24,7 +24,7 @@
 	spoils int
 }
 
-// runSecondAnswer has two of three servers send 3 in 100 of their answers without a length. With the
+// runSecondAnswer has two of four servers send 1 in 34 of their answers without a length. With the
 // disruption a second answer, that to the request before, follows on the same channel.
 func runSecondAnswer(l *lab, trouble bool) (int, error) {
 	book := &ledger{bodies: map[string][]byte{}}
@@ -41,7 +41,7 @@
 		defer mutex.Unlock()
 		return time.Now().After(begins) && time.Since(begins) < troubleTime
 	}
-	for n, zone := range zones {
+	for n, zone := range append(zones, zones[2]) {
 		id := fmt.Sprintf("i-%d", n+1)
 		if err := l.startUpstream(id, "desk", zone, book.answers(l, id, func() bool { return n < 2 && active() }, trouble)); err != nil {
 			return 0, err
@@ -51,10 +51,11 @@
 	if err != nil {
 		return 0, err
 	}
+	l.awaitContact()
 	mutex.Lock()
 	begins = time.Now().Add(2 * time.Second)
 	mutex.Unlock()
-	broken := 0
+	broken, served := 0, 0
 	steadily(9*time.Second, 15*time.Millisecond, func(n int) {
 		id, method, target, body := fmt.Sprintf("a%015x", n), http.MethodGet, fmt.Sprintf("/lookup/%d", n), []byte(nil)
 		if n%3 > 0 {
@@ -65,6 +66,9 @@
 		if r.err != nil || r.status/100 != 2 {
 			return
 		}
+		mutex.Lock()
+		served++
+		mutex.Unlock()
 		whole := book.body(id)
 		if !bytes.Equal(whole, r.body) || r.header.Get("X-Server-Stamp") == "" {
 			l.note("MIXED: %s got %q, and the server's body is %q", id, r.body, whole)
@@ -74,6 +78,9 @@
 		}
 	})
 	l.note("answers without a length: %d", book.spoils)
+	if served == 0 || book.spoils == 0 {
+		return 0, errNothingShown
+	}
 	return broken, nil
 }
 
--- a/review/second/slashes.go
+++ b/review/second/slashes.go
@@ -17,7 +17,7 @@
 // of the first configuration takes. With the disruption, the next one adds a route for all paths.
 func runSlashes(l *lab, trouble bool) (int, error) {
 	var mutex sync.Mutex
-	sent, broken := map[string]sentRequest{}, 0
+	sent, broken, served := map[string]sentRequest{}, 0, 0
 	answer := func(server string) func(conn net.Conn, request *http.Request, body []byte) {
 		return func(conn net.Conn, request *http.Request, body []byte) {
 			time.Sleep(15 * time.Millisecond)
@@ -51,6 +51,7 @@
 	if err != nil {
 		return 0, err
 	}
+	l.awaitContact()
 	begins := time.Now()
 	var change sync.Once
 	var changeErr error
@@ -73,8 +74,16 @@
 		mutex.Unlock()
 		r := send(instances[n%len(instances)].callers, request.method, request.target, id, map[string]string{"X-Deadline-Ms": "1500"}, []byte(request.body))
 		l.note("client: %s %s %s -> %d, %v", id, request.method, request.target, r.status, r.err)
+		if r.status == http.StatusOK {
+			mutex.Lock()
+			served++
+			mutex.Unlock()
+		}
 	})
 	mutex.Lock()
 	defer mutex.Unlock()
+	if changeErr == nil && served == 0 {
+		return 0, errNothingShown
+	}
 	return broken, changeErr
 }
--- a/review/second/slowreaders.go
+++ b/review/second/slowreaders.go
@@ -77,10 +77,11 @@
 	if err != nil {
 		return 0, err
 	}
+	l.awaitContact()
 	var (
-		clients sync.WaitGroup
-		mutex   sync.Mutex
-		lost    int
+		clients     sync.WaitGroup
+		mutex       sync.Mutex
+		lost, whole int
 	)
 	for n := range slowReaders + quickReaders {
 		reading := slowness{timeoutMs: slow.timeoutMs}
@@ -89,63 +90,86 @@
 		}
 		clients.Go(func() {
 			time.Sleep(time.Duration(n) * 25 * time.Millisecond)
-			if l.readSlowly(instances[n%len(instances)].callers, n, reading) {
-				mutex.Lock()
+			ended := l.readSlowly(instances[n%len(instances)].callers, n, reading)
+			mutex.Lock()
+			defer mutex.Unlock()
+			switch ended {
+			case endedEarly:
 				lost++
-				mutex.Unlock()
+			case endedWhole:
+				whole++
+			case endedOtherwise:
 			}
 		})
 	}
 	clients.Wait()
 	l.note("channels closed without a whole answer: %d, of which the rule allows %d", lost, tolerated)
+	if whole+lost < quickReaders {
+		return 0, errNothingShown
+	}
 	return max(0, lost-tolerated), nil
 }
 
-// readSlowly makes the requests of one client, and reports whether its channel was closed in its second
-// answer, within its time budget.
-func (l *lab) readSlowly(address string, n int, reading slowness) (lost bool) {
+// ending is how the second answer to a client ended.
+type ending int
+
+const (
+	// endedWhole is a whole answer, endedEarly a channel that was closed before its end, within the
+	// client's time budget. endedOtherwise counts as neither.
+	endedWhole ending = iota
+	endedEarly
+	endedOtherwise
+)
+
+// readSlowly makes the requests of one client, and returns how the answer to the second one ended.
+func (l *lab) readSlowly(address string, n int, reading slowness) ending {
 	conn, err := (&net.Dialer{Timeout: time.Second}).DialContext(l.ctx, "tcp", address)
 	if err != nil {
 		l.note("client %d cannot connect: %v", n, err)
-		return false
+		return endedOtherwise
 	}
 	defer func() { _ = conn.Close() }()
 	if tcp, ok := conn.(*net.TCPConn); ok {
 		_ = tcp.SetReadBuffer(windowBytes)
 	}
 	reader := bufio.NewReader(conn)
-	for k, request := range []string{"GET /lookup/%d", "POST /export/%d"} {
-		id := fmt.Sprintf("c%07x%08x", k, n)
-		begins := time.Now()
-		head := fmt.Sprintf(request, n) + fmt.Sprintf(" HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: %s\r\nX-Credential: %s\r\nX-Deadline-Ms: %d\r\n", host, id, key, reading.timeoutMs)
-		if k == 1 {
-			head += "Content-Length: 0\r\n"
-		}
-		if _, err = io.WriteString(conn, head+"\r\n"); err != nil {
-			l.note("client %d cannot send %s: %v", n, id, err)
-			return false
-		}
-		response, readErr := http.ReadResponse(reader, nil)
-		if readErr != nil {
-			l.note("client %d gets no answer to %s: %v", n, id, readErr)
-			return k == 1
-		}
-		pace := slowness{}
-		if k == 1 {
-			pace = reading
-		}
-		count, bodyErr := readAt(response.Body, pace)
-		_ = response.Body.Close()
-		l.note("client %d: %s %d, %d of %d bytes after %.1f s, %v", n, id, response.StatusCode, count, response.ContentLength, time.Since(begins).Seconds(), bodyErr)
-		if bodyErr != nil {
-			inTime := time.Since(begins) < time.Duration(reading.timeoutMs)*time.Millisecond
-			if k == 1 && inTime {
-				l.note("LOST: the channel of client %d was closed in the answer to %s", n, id)
-			}
-			return k == 1 && inTime
+	first := l.request(conn, reader, fmt.Sprintf("GET /lookup/%d", n), fmt.Sprintf("c0000000%08x", n), "", slowness{timeoutMs: 1500})
+	if first != endedWhole {
+		return endedOtherwise
+	}
+	return l.request(conn, reader, fmt.Sprintf("POST /export/%d", n), fmt.Sprintf("c0000001%08x", n), "Content-Length: 0\r\n", reading)
+}
+
+// request sends a request on a client's channel and reads the answer.
+func (l *lab) request(conn net.Conn, reader *bufio.Reader, line, id, fields string, reading slowness) ending {
+	begins := time.Now()
+	early := func() ending {
+		if time.Since(begins) >= time.Duration(reading.timeoutMs)*time.Millisecond {
+			return endedOtherwise
 		}
+		return endedEarly
+	}
+	_, err := fmt.Fprintf(conn, "%s HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: %s\r\nX-Credential: %s\r\nX-Deadline-Ms: %d\r\n%s\r\n", line, host, id, key, reading.timeoutMs, fields)
+	if err != nil {
+		l.note("client: %s cannot be sent: %v", id, err)
+		return endedOtherwise
+	}
+	response, err := http.ReadResponse(reader, nil)
+	if err != nil {
+		l.note("client: no answer to %s: %v", id, err)
+		return early()
+	}
+	defer func() { _ = response.Body.Close() }()
+	count, err := readAt(response.Body, reading)
+	l.note("client: %s %d, %d of %d bytes after %.1f s, %v", id, response.StatusCode, count, response.ContentLength, time.Since(begins).Seconds(), err)
+	switch {
+	case response.StatusCode != http.StatusOK:
+		return endedOtherwise
+	case err == nil:
+		return endedWhole
 	}
-	return false
+	l.note("the channel was closed in the answer to %s", id)
+	return early()
 }
 
 // readAt reads a body to its end after the pause, and at the rate.
