Refuse answers whose status HTTP does not have

Seen by callers on other systems: a server's answer with status 000 reached them as an answer. Shown here with stand-ins that send 000, 001, 099, -00, +20, 101, 600 and 999: at the shared platform's door a caller of a server that answers 000 has its connection closed without an answer, since net/http panics as the status is written; 101, 600 and 999 reach the caller as the server's answer. Elsewhere 000 counts as a success: plain services at the product's own door, load reports, all calls to the store, the command status. Cause: net/http takes any three characters that strconv.Atoi accepts for a status, and readers compare only with 300 or with the codes that they know. Change: http1.Transport checks the lines of each head as they are received and fails the call. All readers of answers over HTTP use it. The head of an answer must arrive after the connection was handed to its request, so bytes behind an earlier answer are none. Heads are bounded at 64 KiB everywhere, as they were at the shared platform's door. What precedes a malformed line is passed on to net/http, which would send the request again if nothing of an answer had arrived.

--- a/internal/backend/connect/connect.go
+++ b/internal/backend/connect/connect.go
@@ -81,6 +81,9 @@
 
 // Through returns the peer that carries a connection, empty for a direct one.
 func Through(conn net.Conn) tables.InstanceID {
+	if c, ok := conn.(interface{ NetConn() net.Conn }); ok {
+		conn = c.NetConn()
+	}
 	if c, ok := conn.(*peerConn); ok {
 		return c.peer
 	}
--- a/internal/backend/forward/forward.go
+++ b/internal/backend/forward/forward.go
@@ -21,12 +21,13 @@
 
 	"mimosayard/internal/backend/connect"
 	"mimosayard/internal/core/tables"
+	"mimosayard/internal/net/http1"
 )
 
 // Client sends calls to upstreams. It must be created with New; the zero value
 // is not usable.
 type Client struct {
-	transport *http.Transport
+	transport *http1.Transport
 }
 
 // Request is a request to one upstream.
@@ -59,17 +60,9 @@
 // established. The upstream cannot have received any of it.
 var ErrNotConnected = errors.New("could not connect to upstream")
 
-// maxHeaderBytes bounds the header of a response.
-const maxHeaderBytes = 64 << 10
-
 // New returns a client that connects with dial.
 func New(dial connect.DialFunc) *Client {
-	return &Client{transport: &http.Transport{
-		DialContext:            dial,
-		DisableCompression:     true,
-		DisableKeepAlives:      true,
-		MaxResponseHeaderBytes: maxHeaderBytes,
-	}}
+	return &Client{transport: &http1.Transport{Dial: dial, DisableCompression: true, DisableKeepAlives: true}}
 }
 
 // Send sends a request and returns the response once its header has arrived.
--- a/internal/backend/raters/raters.go
+++ b/internal/backend/raters/raters.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/gravitational/trace"
+
+	"mimosayard/internal/net/http1"
 )
 
 // An Answer is an answer submitted for rating.
@@ -25,7 +27,7 @@
 type Client struct {
 	// BaseURL is the base URL of the API, such as http://127.0.0.1:7300.
 	BaseURL string
-	// HTTPClient is the HTTP client to use, http.DefaultClient if nil.
+	// HTTPClient is the HTTP client to use, http1.DefaultClient if nil.
 	HTTPClient *http.Client
 
 	// cursor is the position up to which ratings have been fetched.
@@ -86,7 +88,7 @@
 	}
 	client := c.HTTPClient
 	if client == nil {
-		client = http.DefaultClient
+		client = http1.DefaultClient
 	}
 	response, err := client.Do(request)
 	if err != nil {
--- a/internal/backend/upstreams/chat.go
+++ b/internal/backend/upstreams/chat.go
@@ -17,6 +17,7 @@
 	"mimosayard/internal/backend/connect"
 	"mimosayard/internal/core/faults"
 	"mimosayard/internal/core/routing"
+	"mimosayard/internal/net/http1"
 )
 
 // A ChatCall is a call for a streamed chat completion.
@@ -169,13 +170,13 @@
 }
 
 // newTransport returns a transport with connections of its own.
-func (c *Client) newTransport() *http.Transport {
+func (c *Client) newTransport() *http1.Transport {
 	dial := c.Dial
 	if dial == nil {
 		dial = connect.Direct
 	}
-	return &http.Transport{
-		DialContext:         dial,
+	return &http1.Transport{
+		Dial:                dial,
 		DisableCompression:  true,
 		IdleConnTimeout:     idleTimeout,
 		MaxIdleConnsPerHost: maxIdleConnsPerUpstream,
--- a/internal/backend/upstreams/upstreams.go
+++ b/internal/backend/upstreams/upstreams.go
@@ -22,6 +22,7 @@
 	"mimosayard/internal/core/pacing"
 	"mimosayard/internal/core/routing"
 	"mimosayard/internal/core/tables"
+	"mimosayard/internal/net/http1"
 	"mimosayard/internal/net/sockets"
 )
 
@@ -38,7 +39,7 @@
 
 	mutex sync.Mutex
 	// transports holds one transport for each address.
-	transports map[string]*http.Transport
+	transports map[string]*http1.Transport
 }
 
 // A Usage is an engine's report of the tokens of a call: of the prompt, of the
@@ -208,13 +209,13 @@
 
 // transport returns the transport for an address, which it creates on first
 // use.
-func (c *Client) transport(address string) *http.Transport {
+func (c *Client) transport(address string) *http1.Transport {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	transport := c.transports[address]
 	if transport == nil {
 		if c.transports == nil {
-			c.transports = map[string]*http.Transport{}
+			c.transports = map[string]*http1.Transport{}
 		}
 		transport = c.newTransport()
 		c.transports[address] = transport
--- a/internal/cli/commands/quarantinecmd.go
+++ b/internal/cli/commands/quarantinecmd.go
@@ -9,6 +9,7 @@
 	"github.com/gravitational/trace"
 
 	"mimosayard/internal/core/quarantine"
+	"mimosayard/internal/net/http1"
 )
 
 func newQuarantineCmd() *command {
@@ -41,7 +42,7 @@
 	if err != nil {
 		return usageError("-instance %q is not a URL", *instance)
 	}
-	response, err := (&http.Client{Timeout: statusTimeout}).Do(request)
+	response, err := (&http.Client{Timeout: statusTimeout, Transport: http1.DefaultTransport}).Do(request)
 	if err != nil {
 		return trace.ConnectionProblem(err, "the instance does not answer")
 	}
--- a/internal/cli/commands/statuscmd.go
+++ b/internal/cli/commands/statuscmd.go
@@ -8,6 +8,7 @@
 	"github.com/gravitational/trace"
 
 	"mimosayard/internal/instance/service"
+	"mimosayard/internal/net/http1"
 )
 
 func newStatusCmd() *command {
@@ -38,7 +39,7 @@
 	if err != nil {
 		return usageError("-instance %q is not a URL", *instance)
 	}
-	client := &http.Client{Timeout: statusTimeout}
+	client := &http.Client{Timeout: statusTimeout, Transport: http1.DefaultTransport}
 	response, err := client.Do(request)
 	if err != nil {
 		return trace.ConnectionProblem(err, "the instance does not answer")
--- a/internal/cli/demo/demo.go
+++ b/internal/cli/demo/demo.go
@@ -19,6 +19,7 @@
 	"mimosayard/internal/core/tables"
 	"mimosayard/internal/instance/service"
 	"mimosayard/internal/instance/settings"
+	"mimosayard/internal/net/http1"
 	"mimosayard/internal/platform/objects"
 	"mimosayard/internal/standin/engine"
 	"mimosayard/internal/standin/httpserver"
@@ -72,7 +73,7 @@
 		options: options,
 		group:   group,
 		ctx:     ctx,
-		client:  &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}},
+		client:  &http.Client{Transport: &http1.Transport{MaxIdleConnsPerHost: 64}},
 	}
 	err := r.run()
 	if err == nil && options.Keep {
--- a/internal/cli/demo/shared.go
+++ b/internal/cli/demo/shared.go
@@ -15,6 +15,7 @@
 
 	"mimosayard/internal/instance/entry"
 	"mimosayard/internal/instance/settings"
+	"mimosayard/internal/net/http1"
 	"mimosayard/internal/standin/httpserver"
 	"mimosayard/internal/standin/sharedplatform"
 	"mimosayard/internal/telemetry/logs"
@@ -53,7 +54,7 @@
 		options: options,
 		group:   group,
 		ctx:     ctx,
-		client:  &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
+		client:  &http.Client{Transport: &http1.Transport{DisableKeepAlives: true}},
 	}
 	err := r.run()
 	if err == nil && options.Keep {
--- /dev/null
+++ b/internal/edge/ingress/malformed_test.go
@@ -0,0 +1,46 @@
+package ingress
+
+import (
+	"net/http"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"mimosayard/internal/standin/httpserver"
+)
+
+// malformedAnswers are answers that end with their connection and have one fault in their head.
+func malformedAnswers(statusLine, field string) map[string]string {
+	const head = "X-Attempt-Id: id-1\r\nX-Server-Stamp: stamp\r\n"
+	return map[string]string{
+		"/unsafe/x": statusLine + "\r\n" + head + field + "\r\nbody",
+		"/safe/x":   statusLine + "\r\n" + head + field + "Content-Length: 4\r\n\r\nbody",
+		"/stream/x": statusLine + "\r\n" + head + field + "Content-Type: text/event-stream\r\n\r\nid: 1\ndata: a\n\n",
+	}
+}
+
+// assertBadGateway checks that a caller gets a failure of this instance, whole and without a
+// server's stamp, if all upstreams send some bytes and close their connections.
+func assertBadGateway(t *testing.T, path, sent string) {
+	t.Helper()
+	is := is.New(t)
+	is.Helper()
+	ti := newTestIngress(t, httpserver.CloseAfter(sent))
+	response, body, err := ti.get(t, path)
+	if err != nil {
+		t.Fatalf("no answer: %v", err)
+	}
+	if response.StatusCode != http.StatusBadGateway || response.Header.Get("X-Server-Stamp") != "" {
+		t.Errorf("status %d, header %v, body %q", response.StatusCode, response.Header, body)
+	}
+}
+
+// TestInvalidStatusesAreFailures guards against callers that get an answer, or a connection
+// that is closed without one, for a status that HTTP does not have.
+func TestInvalidStatusesAreFailures(t *testing.T) {
+	for _, status := range []string{"000", "001", "099", "-00", "+20", "101", "600", "999"} {
+		for path, sent := range malformedAnswers("HTTP/1.1 "+status+" OK", "") {
+			t.Run(status+" "+path, func(t *testing.T) { assertBadGateway(t, path, sent) })
+		}
+	}
+}
--- a/internal/instance/entry/entry.go
+++ b/internal/instance/entry/entry.go
@@ -33,6 +33,7 @@
 	"mimosayard/internal/instance/storecache"
 	"mimosayard/internal/instance/uplinks"
 	"mimosayard/internal/net/budget"
+	"mimosayard/internal/net/http1"
 	"mimosayard/internal/net/sockets"
 	"mimosayard/internal/telemetry/events"
 	"mimosayard/internal/telemetry/logs"
@@ -364,8 +365,8 @@
 func newStore(address string) *platform.Store {
 	return &platform.Store{
 		BaseURL: "http://" + address,
-		HTTPClient: &http.Client{Transport: &http.Transport{
-			DialContext:         sockets.Dialer(storeDialTimeout).DialContext,
+		HTTPClient: &http.Client{Transport: &http1.Transport{
+			Dial:                sockets.Dialer(storeDialTimeout).DialContext,
 			MaxIdleConnsPerHost: 4,
 			DisableCompression:  true,
 		}},
--- a/internal/instance/service/service.go
+++ b/internal/instance/service/service.go
@@ -37,6 +37,7 @@
 	"mimosayard/internal/instance/settings"
 	"mimosayard/internal/instance/uplinks"
 	"mimosayard/internal/net/budget"
+	"mimosayard/internal/net/http1"
 	"mimosayard/internal/net/sockets"
 	"mimosayard/internal/platform/directory"
 	"mimosayard/internal/platform/objects"
@@ -389,5 +390,5 @@
 }
 
 func newHTTPClient() *http.Client {
-	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: time.Minute}}
+	return &http.Client{Transport: &http1.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: time.Minute}}
 }
--- /dev/null
+++ b/internal/net/http1/head.go
@@ -0,0 +1,74 @@
+package http1
+
+import (
+	"bytes"
+	"net/http"
+
+	"github.com/gravitational/trace"
+)
+
+// headChecker checks the lines of the head of an answer, and of the interim answers before it,
+// as they are received. Its zero value expects the status line.
+type headChecker struct {
+	// line is the part of the current line that was received.
+	line []byte
+	// inFields is true after the status line, and interim if that is one of an interim
+	// answer.
+	inFields, interim bool
+	// complete is true after the empty line that ends the head.
+	complete bool
+}
+
+// check checks the next bytes. What follows the head is not checked. If a line is malformed,
+// check returns the number of bytes before the end of that line.
+func (h *headChecker) check(data []byte) (passed int, err error) {
+	for passed < len(data) && !h.complete {
+		part, _, whole := bytes.Cut(data[passed:], []byte("\n"))
+		h.line = append(h.line, part...)
+		passed += len(part)
+		if !whole {
+			break
+		}
+		if err := h.checkLine(bytes.TrimSuffix(h.line, []byte("\r"))); err != nil {
+			return passed, err
+		}
+		h.line = h.line[:0]
+		passed++
+	}
+	return passed, nil
+}
+
+func (h *headChecker) checkLine(line []byte) error {
+	switch {
+	case !h.inFields:
+		status, err := parseStatus(line)
+		if err != nil {
+			return err
+		}
+		h.inFields, h.interim = true, status < http.StatusOK
+	case len(line) == 0:
+		h.inFields, h.complete = false, !h.interim
+	}
+	return nil
+}
+
+// parseStatus returns the status code of a status line (RFC 9112, section 4). Codes outside of
+// 100 to 599 are invalid, and 101 answers no request of this program.
+func parseStatus(line []byte) (int, error) {
+	const codeStart, codeEnd = len("HTTP/1.1 "), len("HTTP/1.1 200")
+	if len(line) < codeEnd || !bytes.HasPrefix(line, []byte("HTTP/1.")) || line[codeStart-1] != ' ' ||
+		len(line) > codeEnd && line[codeEnd] != ' ' {
+		return 0, trace.Wrap(ErrMalformed, "invalid status line")
+	}
+	status := 0
+	for _, digit := range line[codeStart:codeEnd] {
+		if digit < '0' || digit > '9' {
+			return 0, trace.Wrap(ErrMalformed, "invalid status line")
+		}
+		status = 10*status + int(digit-'0')
+	}
+	if status < http.StatusContinue || status > 599 || status == http.StatusSwitchingProtocols {
+		return 0, trace.Wrap(ErrMalformed, "invalid status %d", status)
+	}
+	return status, nil
+}
--- /dev/null
+++ b/internal/net/http1/readers_test.go
@@ -0,0 +1,206 @@
+package http1_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"mimosayard/internal/backend/connect"
+	"mimosayard/internal/backend/forward"
+	"mimosayard/internal/backend/raters"
+	"mimosayard/internal/backend/upstreams"
+	"mimosayard/internal/cli/commands"
+	"mimosayard/internal/net/http1"
+	"mimosayard/internal/platform/directory"
+	"mimosayard/internal/platform/objects"
+	"mimosayard/internal/standin/httpserver"
+	"mimosayard/platform"
+)
+
+// A reader is one of the places where the program reads an answer of another process.
+type reader struct {
+	// fields and body are those of an answer that the reader accepts.
+	fields, body string
+	// call makes the call to an address. It returns an error unless the answer is accepted.
+	call func(ctx context.Context, address string) error
+}
+
+// events is a complete stream of an engine.
+const events = "data: {\"choices\":[{\"delta\":{\"content\":\"a\"}}]}\n\ndata: [DONE]\n\n"
+
+// readers returns all readers of answers over HTTP by name.
+func readers() map[string]reader {
+	all := map[string]reader{
+		"a load report": {"X-Load-Running: 1\r\nX-Load-Waiting-Tokens: 2\r\n", "", func(ctx context.Context, address string) error {
+			if _, ok := (&upstreams.Client{}).FetchLoad(ctx, address); !ok {
+				return errors.New("no load report")
+			}
+			return nil
+		}},
+		"the answer to an order": {"", "", func(ctx context.Context, address string) error {
+			return (&upstreams.Client{}).SendOrder(ctx, address, upstreams.Order{Subject: "s"})
+		}},
+		"ratings": {"", `{"ratings":[],"next":1}`, func(ctx context.Context, address string) error {
+			_, err := (&raters.Client{BaseURL: "http://" + address}).Fetch(ctx, "i")
+			return err
+		}},
+		"the answer to answers for rating": {"", "{}", func(ctx context.Context, address string) error {
+			return (&raters.Client{BaseURL: "http://" + address}).Submit(ctx, []raters.Answer{{RequestID: "r"}})
+		}},
+		"the list of instances": {"", `{"instances":[]}`, func(ctx context.Context, address string) error {
+			_, err := (&directory.Client{BaseURL: "http://" + address}).List(ctx)
+			return err
+		}},
+		"the command status": {"", "{}", func(_ context.Context, address string) error {
+			return runCommand("status", "-instance", "http://"+address)
+		}},
+		"the command quarantine": {"", "[]", func(_ context.Context, address string) error {
+			return runCommand("quarantine", "-instance", "http://"+address)
+		}},
+	}
+	addUpstreamReaders(all)
+	addObjectReaders(all)
+	addStoreReaders(all)
+	return all
+}
+
+// addUpstreamReaders adds the readers of answers that go on to callers.
+func addUpstreamReaders(all map[string]reader) {
+	all["an answer of the shared platform"] = reader{"X-Attempt-Id: r\r\n", "{}", func(ctx context.Context, address string) error {
+		request := forward.Request{Address: address, Method: http.MethodPost, Target: "/x", Host: "h", Header: http.Header{}, Body: []byte("body")}
+		response, err := forward.New(connect.Direct).Send(ctx, request)
+		if err != nil {
+			return err
+		}
+		defer func() { _ = response.Body.Close() }()
+		_, err = io.Copy(io.Discard, response.Body)
+		return err
+	}}
+	for name, atMostOnce := range map[string]bool{"an answer of a plain service": true, "an answer to a call that may be repeated": false} {
+		all[name] = reader{"X-Request-Id: r\r\n", "{}", func(ctx context.Context, address string) error {
+			_, err := (&upstreams.Client{}).CallPlain(ctx, upstreams.PlainCall{
+				Address: address, RequestID: "r", Method: http.MethodPost, Path: "/x", AtMostOnce: atMostOnce,
+			})
+			return err
+		}}
+	}
+	all["an answer of an engine"] = reader{"X-Request-Id: r\r\n", events, func(ctx context.Context, address string) error {
+		_, err := (&upstreams.Client{}).StreamChat(ctx, upstreams.ChatCall{Address: address, RequestID: "r"}, upstreams.ChatCallbacks{
+			OnEvent: func(upstreams.ChatEvent) error { return nil },
+		})
+		return err
+	}}
+}
+
+// addObjectReaders adds the readers of the platform's object API.
+func addObjectReaders(all map[string]reader) {
+	const version, list = "ETag: \"3\"\r\n", `{"revision":3,"changes":[]}`
+	for name, r := range map[string]struct {
+		fields, body string
+		call         func(ctx context.Context, c *objects.Client) error
+	}{
+		"an object": {version, "{}", func(ctx context.Context, c *objects.Client) error {
+			_, err := c.Get(ctx, "k")
+			return err
+		}},
+		"the answer to the write of an object": {version, "", func(ctx context.Context, c *objects.Client) error {
+			_, err := c.Put(ctx, "k", 2, []byte("{}"))
+			return err
+		}},
+		"the list of objects": {"", list, func(ctx context.Context, c *objects.Client) error {
+			_, err := c.List(ctx, "k")
+			return err
+		}},
+		"the watch of objects": {"", list, func(ctx context.Context, c *objects.Client) error {
+			_, _, err := c.Watch(ctx, "k", 2, time.Second)
+			return err
+		}},
+	} {
+		all[name] = reader{r.fields, r.body, func(ctx context.Context, address string) error {
+			return r.call(ctx, &objects.Client{BaseURL: "http://" + address})
+		}}
+	}
+}
+
+// addStoreReaders adds the readers of the shared platform's store.
+func addStoreReaders(all map[string]reader) {
+	for name, r := range map[string]struct {
+		body string
+		call func(ctx context.Context, s *platform.Store) error
+	}{
+		"the list of the store": {`{"items":[],"as_of":3}`, func(ctx context.Context, s *platform.Store) error {
+			_, _, err := s.List(ctx, platform.KindServers)
+			return err
+		}},
+		"the watch of the store": {`{"events":[],"as_of":3}`, func(ctx context.Context, s *platform.Store) error {
+			_, _, err := s.Watch(ctx, platform.KindServers, platform.Position{Revision: 2}, time.Second)
+			return err
+		}},
+		"the answer to a status": {"{}", func(ctx context.Context, s *platform.Store) error {
+			return s.PutStatus(ctx, platform.KindServers, "o", platform.Position{Revision: 2}, struct{}{})
+		}},
+		"the answer to a new object": {"{}", func(ctx context.Context, s *platform.Store) error {
+			return s.Create(ctx, platform.KindServers, "o")
+		}},
+		"the answer to a removal": {"{}", func(ctx context.Context, s *platform.Store) error {
+			return s.Delete(ctx, platform.KindServers, "o")
+		}},
+	} {
+		all["in the shared platform, "+name] = reader{"", r.body, func(ctx context.Context, address string) error {
+			return r.call(ctx, &platform.Store{BaseURL: "http://" + address, HTTPClient: http1.DefaultClient})
+		}}
+	}
+}
+
+// runCommand runs a command of the command line.
+func runCommand(args ...string) error {
+	var stderr bytes.Buffer
+	if commands.Main(args, io.Discard, &stderr) != commands.ExitOK {
+		return errors.New(stderr.String())
+	}
+	return nil
+}
+
+// answer returns an answer with a length to a reader.
+func (r reader) answer(statusLine, field string) string {
+	return fmt.Sprintf("%s\r\n%s%sContent-Length: %d\r\n\r\n%s", statusLine, r.fields, field, len(r.body), r.body)
+}
+
+// result returns the error of a call to a process that sends some bytes and closes its
+// connection.
+func (r reader) result(t *testing.T, sent string) error {
+	t.Helper()
+	server := httptest.NewServer(httpserver.CloseAfter(sent))
+	defer server.Close()
+	return r.call(t.Context(), server.Listener.Addr().String())
+}
+
+// assertRefused checks for each reader that it accepts a proper answer, but none with another
+// status line or with a further line in its head.
+func assertRefused(t *testing.T, statusLine, field string) {
+	t.Helper()
+	for name, r := range readers() {
+		t.Run(name, func(t *testing.T) {
+			if err := r.result(t, r.answer("HTTP/1.1 200 OK", "")); err != nil {
+				t.Fatalf("a proper answer is refused: %v", err)
+			}
+			if r.result(t, r.answer(statusLine, field)) == nil {
+				t.Error("a broken answer is accepted")
+			}
+		})
+	}
+}
+
+// TestReadersRefuseInvalidStatuses guards against an answer that counts as a success, or a write
+// that counts as done, by a status that HTTP does not have.
+func TestReadersRefuseInvalidStatuses(t *testing.T) {
+	for _, status := range []string{"000", "099", "600"} {
+		t.Run(status, func(t *testing.T) { assertRefused(t, "HTTP/1.1 "+status+" OK", "") })
+	}
+}
--- a/internal/platform/directory/directory.go
+++ b/internal/platform/directory/directory.go
@@ -10,13 +10,15 @@
 	"time"
 
 	"github.com/gravitational/trace"
+
+	"mimosayard/internal/net/http1"
 )
 
 // A Client reads the list. Only BaseURL must be set before use.
 type Client struct {
 	// BaseURL is the base URL of the API, such as http://127.0.0.1:7000.
 	BaseURL string
-	// HTTPClient is the HTTP client to use, http.DefaultClient if nil.
+	// HTTPClient is the HTTP client to use, http1.DefaultClient if nil.
 	HTTPClient *http.Client
 }
 
@@ -66,7 +68,7 @@
 	}
 	client := c.HTTPClient
 	if client == nil {
-		client = http.DefaultClient
+		client = http1.DefaultClient
 	}
 	response, err := client.Do(request)
 	if err != nil {
--- a/internal/platform/objects/objects.go
+++ b/internal/platform/objects/objects.go
@@ -16,6 +16,8 @@
 	"time"
 
 	"github.com/gravitational/trace"
+
+	"mimosayard/internal/net/http1"
 )
 
 // A Client calls the object API. Only BaseURL must be set before use. It is
@@ -23,7 +25,7 @@
 type Client struct {
 	// BaseURL is the base URL of the API, such as http://127.0.0.1:7000.
 	BaseURL string
-	// HTTPClient is the HTTP client to use, http.DefaultClient if nil.
+	// HTTPClient is the HTTP client to use, http1.DefaultClient if nil.
 	HTTPClient *http.Client
 
 	// callCounts is indexed by callRead, callWrite and callWatch.
@@ -210,7 +212,7 @@
 	}
 	client := c.HTTPClient
 	if client == nil {
-		client = http.DefaultClient
+		client = http1.DefaultClient
 	}
 	c.callCounts[kind].Add(1)
 	response, err := client.Do(request)
