Refuse answers with a line in their head that is no field

Seen by callers on other systems: an answer in whose head the name of a field held a blank or a control byte reached them, with that line passed on or with a body that was not the server's. Shown here at the shared platform's door: "X Field: value" and "X-Field : value" are dropped and the rest is a 200; a line that begins with a blank is passed on as part of the field before it; "Content-Length : 2" and "Transfer-Encoding : chunked" are not understood, so that the body goes on to the end of the connection. A control byte in a name was always an error. Cause: net/http keeps names with blanks as they are, unfolds lines that begin with a blank, and does not report either. Change: http1.Transport checks each line of a head, and of interim answers, for the form of a field, with the functions of golang.org/x/net/http/httpguts, which is a new dependency. RFC 9112 lets a gateway refuse folded lines.

--- a/internal/edge/ingress/malformed_test.go
+++ b/internal/edge/ingress/malformed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
@@ -44,3 +45,17 @@
 		}
 	}
 }
+
+// TestInvalidFieldNamesAreFailures guards against callers that get an answer with a line of its
+// head that is no field, or with a body whose length or chunks were not understood.
+func TestInvalidFieldNamesAreFailures(t *testing.T) {
+	for _, field := range []string{
+		"X Field: value", "X-Field : value", " X-Field: value", "\tX-Field: value", "X\tField: value", "X-Field\t: value",
+		"X\x00Field: value", "X\x01Field: value", "X\x7fField: value", "X\rField: value", ": value", "X-Field",
+		"Content-Length : 2", " Content-Length: 2", "Content Length: 2", "Transfer-Encoding : chunked", "\tTransfer-Encoding: chunked",
+	} {
+		for path, sent := range malformedAnswers("HTTP/1.1 200 OK", field+"\r\n") {
+			t.Run(strings.TrimSpace(field)+" "+path, func(t *testing.T) { assertBadGateway(t, path, sent) })
+		}
+	}
+}
--- a/internal/net/http1/head.go
+++ b/internal/net/http1/head.go
@@ -5,6 +5,7 @@
 	"net/http"
 
 	"github.com/gravitational/trace"
+	"golang.org/x/net/http/httpguts"
 )
 
 // headChecker checks the lines of the head of an answer, and of the interim answers before it,
@@ -48,6 +49,21 @@
 		h.inFields, h.interim = true, status < http.StatusOK
 	case len(line) == 0:
 		h.inFields, h.complete = false, !h.interim
+	default:
+		return checkField(line)
+	}
+	return nil
+}
+
+// checkField returns an error unless the line is a field (RFC 9112, section 5). That includes
+// lines that begin with a blank, which net/http appends to the line before.
+func checkField(line []byte) error {
+	name, value, ok := bytes.Cut(line, []byte(":"))
+	if !ok || !httpguts.ValidHeaderFieldName(string(name)) {
+		return trace.Wrap(ErrMalformed, "invalid field name")
+	}
+	if !httpguts.ValidHeaderFieldValue(string(value)) {
+		return trace.Wrap(ErrMalformed, "invalid value of the field %q", name)
 	}
 	return nil
 }
--- a/internal/net/http1/readers_test.go
+++ b/internal/net/http1/readers_test.go
@@ -169,7 +169,7 @@
 
 // answer returns an answer with a length to a reader.
 func (r reader) answer(statusLine, field string) string {
-	return fmt.Sprintf("%s\r\n%s%sContent-Length: %d\r\n\r\n%s", statusLine, r.fields, field, len(r.body), r.body)
+	return fmt.Sprintf("%s\r\n%sX-Other: other\r\n%sContent-Length: %d\r\n\r\n%s", statusLine, r.fields, field, len(r.body), r.body)
 }
 
 // result returns the error of a call to a process that sends some bytes and closes its
@@ -204,3 +204,11 @@
 		t.Run(status, func(t *testing.T) { assertRefused(t, "HTTP/1.1 "+status+" OK", "") })
 	}
 }
+
+// TestReadersRefuseInvalidFieldNames guards against an answer of which a line of the head was
+// not understood, or passed on.
+func TestReadersRefuseInvalidFieldNames(t *testing.T) {
+	for _, field := range []string{"X Field: value", "X-Field : value", " X-Field: value", "X\x01Field: value"} {
+		t.Run(fmt.Sprintf("%q", field), func(t *testing.T) { assertRefused(t, "HTTP/1.1 200 OK", field+"\r\n") })
+	}
+}
--- a/internal/net/http1/transport_test.go
+++ b/internal/net/http1/transport_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -77,6 +78,23 @@
 	}
 }
 
+// TestMalformedFields guards against lines of a head that are no fields, also of an interim
+// answer.
+func TestMalformedFields(t *testing.T) {
+	for _, line := range []string{
+		"X Field: value", "X-Field : value", " X-Field: value", "\tX-Field: value", "X\tField: value", "X\x00Field: value",
+		"X\x1fField: value", "X\x7fField: value", "X\xe4Field: value", "X(Field): value", "X\rField: value", ": value", "X-Field",
+		"X-Field: a\x00b", "X-Field: a\x01b", "X-Field: a\rb", "X-Field: a\x7fb", " ",
+	} {
+		t.Run(fmt.Sprintf("%q", line), func(t *testing.T) {
+			for _, fields := range []string{line + "\r\nContent-Length: 4\r\n", "Content-Length: 4\r\n" + line + "\r\n", "Content-Length: 4\n" + line + "\n"} {
+				assertNoAnswer(t, "HTTP/1.1 200 OK\r\n"+fields+"\r\nbody")
+			}
+			assertNoAnswer(t, "HTTP/1.1 100 Continue\r\n"+line+"\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody")
+		})
+	}
+}
+
 // TestHeadsInPieces guards against a head that is not checked since it arrives in pieces.
 func TestHeadsInPieces(t *testing.T) {
 	const proper = "HTTP/1.1 100 Continue\r\nX-Field: a\r\n\r\nHTTP/1.1 200 OK\r\nX-Field: b\r\n\r\n"
