Refuse chunks in HTTP/1.0

Seen by callers: the sizes and ends of the chunks as part of the body, in a 200 with the server's stamp, if a server sends chunks in HTTP/1.0. Found beside the reports: a body that was not the server's since a line of the head was not understood. Cause: net/http drops Transfer-Encoding from an answer in HTTP/1.0, so that the body goes on to the end of the connection. Change: such a head is malformed, as RFC 9112, section 6.1, wants framing that cannot be trusted to be treated.

--- a/internal/edge/ingress/malformed_test.go
+++ b/internal/edge/ingress/malformed_test.go
@@ -59,3 +59,11 @@
 		}
 	}
 }
+
+// TestChunksInHTTP10AreFailures guards against callers that get the framing of chunks as a body.
+func TestChunksInHTTP10AreFailures(t *testing.T) {
+	const chunks = "HTTP/1.0 200 OK\r\nX-Attempt-Id: id-1\r\nX-Server-Stamp: stamp\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n"
+	for _, path := range []string{"/unsafe/x", "/safe/x"} {
+		t.Run(path, func(t *testing.T) { assertBadGateway(t, path, chunks) })
+	}
+}
--- a/internal/net/http1/head.go
+++ b/internal/net/http1/head.go
@@ -16,6 +16,8 @@
 	// inFields is true after the status line, and interim if that is one of an interim
 	// answer.
 	inFields, interim bool
+	// http10 is true after the status line of an answer in HTTP/1.0.
+	http10 bool
 	// complete is true after the empty line that ends the head.
 	complete bool
 }
@@ -46,18 +48,19 @@
 		if err != nil {
 			return err
 		}
-		h.inFields, h.interim = true, status < http.StatusOK
+		h.inFields, h.interim, h.http10 = true, status < http.StatusOK, bytes.HasPrefix(line, []byte("HTTP/1.0"))
 	case len(line) == 0:
 		h.inFields, h.complete = false, !h.interim
 	default:
-		return checkField(line)
+		return h.checkField(line)
 	}
 	return nil
 }
 
 // checkField returns an error unless the line is a field (RFC 9112, section 5). That includes
-// lines that begin with a blank, which net/http appends to the line before.
-func checkField(line []byte) error {
+// lines that begin with a blank, which net/http appends to the line before. HTTP/1.0 has no
+// transfer codings, and net/http would take chunks for the body (section 6.1).
+func (h *headChecker) checkField(line []byte) error {
 	name, value, ok := bytes.Cut(line, []byte(":"))
 	if !ok || !httpguts.ValidHeaderFieldName(string(name)) {
 		return trace.Wrap(ErrMalformed, "invalid field name")
@@ -65,6 +68,9 @@
 	if !httpguts.ValidHeaderFieldValue(string(value)) {
 		return trace.Wrap(ErrMalformed, "invalid value of the field %q", name)
 	}
+	if h.http10 && bytes.EqualFold(name, []byte("Transfer-Encoding")) {
+		return trace.Wrap(ErrMalformed, "transfer coding in HTTP/1.0")
+	}
 	return nil
 }
 
--- a/internal/net/http1/readers_test.go
+++ b/internal/net/http1/readers_test.go
@@ -212,3 +212,8 @@
 		t.Run(fmt.Sprintf("%q", field), func(t *testing.T) { assertRefused(t, "HTTP/1.1 200 OK", field+"\r\n") })
 	}
 }
+
+// TestReadersRefuseChunksInHTTP10 guards against bodies that hold the framing of their chunks.
+func TestReadersRefuseChunksInHTTP10(t *testing.T) {
+	assertRefused(t, "HTTP/1.0 200 OK", "Transfer-Encoding: chunked\r\n")
+}
