Bound events of a stream that come in lines without end

Seen by operators of other systems: a faulty server sent bytes without end in a head or a body until the caller closed, and the machine that had called it kept them all and ran out of memory. Shown here at the shared platform's door with a stand-in that sends up to 256 MiB on a connection: of a stream of "data: x" lines without an empty one, an instance keeps all 805,404,672 bytes of three calls, and comments likewise. Empty lines without end are searched from their beginning at each line, which takes a processor for as long as they come. Cause: the bound on an event is only compared where a line does not fit into the buffer of 4 KiB. Change: it is compared with each part that is read, and whether an event has begun is remembered. A call whose event is too large has failed, as before. Status lines, heads, interim answers, plain bodies, chunks, trailers and single lines without end were bounded before.

--- /dev/null
+++ b/internal/edge/ingress/endless_test.go
@@ -0,0 +1,61 @@
+package ingress
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"mimosayard/internal/standin/httpserver"
+)
+
+// kernelBytes is more than the kernel's buffers hold of a connection over loopback.
+const kernelBytes = 16 << 20
+
+// TestAnswersWithoutEndAreBounded guards against an instance that keeps all of an answer without
+// end in its memory, and against callers that wait until their deadline for one.
+func TestAnswersWithoutEndAreBounded(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nX-Attempt-Id: id-1\r\nX-Server-Stamp: stamp\r\n"
+	const events = head + "Content-Type: text/event-stream\r\n\r\n"
+	for _, c := range []struct {
+		name, path, head, piece string
+		// kept is what the instance may keep.
+		kept int64
+	}{
+		{"a status line", "/safe/x", "HTTP/1.1 200 ", "x", 0},
+		{"bytes that are no answer", "/safe/x", "", "x", 0},
+		{"a field", "/safe/x", head + "X-Field: ", "x", 0},
+		{"fields", "/safe/x", head, "X-Field: value\r\n", 0},
+		{"interim answers", "/safe/x", "", "HTTP/1.1 100 Continue\r\n\r\n", 0},
+		{"a body", "/safe/x", head + "\r\n", "x", maxResponseBytes},
+		{"a body with a length", "/safe/x", head + "Content-Length: 1000000000\r\n\r\n", "x", maxResponseBytes},
+		{"a body in chunks", "/safe/x", head + "Transfer-Encoding: chunked\r\n\r\n", "400\r\n" + strings.Repeat("x", 0x400) + "\r\n", maxResponseBytes},
+		{"the size of a chunk", "/safe/x", head + "Transfer-Encoding: chunked\r\n\r\n4;", "x", 0},
+		{"trailers", "/safe/x", head + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n", "X-Field: value\r\n", 0},
+		{"a failure", "/safe/x", "HTTP/1.1 500 Internal Server Error\r\nX-Attempt-Id: id-1\r\n\r\n", "x", maxResponseBytes},
+		{"a rejection", "/safe/x", "HTTP/1.1 503 Service Unavailable\r\nX-Attempt-Id: id-1\r\nX-Not-Executed: 1\r\n\r\n", "x", 0},
+		{"a line of an event", "/stream/x", events + "data: ", "x", maxEventBytes},
+		{"lines of an event", "/stream/x", events, "data: x\n", maxEventBytes},
+		{"lines of an event in chunks", "/stream/x", head + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", "8\r\ndata: x\n\r\n", maxEventBytes},
+		{"comments", "/stream/x", events, ":\n", maxEventBytes},
+		{"empty lines", "/stream/x", events, "\n", maxEventBytes},
+		{"empty lines after an event", "/stream/x", events + "id: 1\ndata: a\n\n", "\r\n", maxEventBytes},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			endless := &httpserver.Endless{Head: c.head, Piece: c.piece}
+			ti := newTestIngress(t, endless.ServeHTTP)
+			start := time.Now()
+			response, body, err := ti.get(t, c.path)
+			if err == nil && response.StatusCode < http.StatusMultipleChoices {
+				t.Errorf("status %d with %d bytes", response.StatusCode, len(body))
+			}
+			// Each call of the request may have taken as much.
+			if sent := endless.Sent(); sent > ti.runs.Load()*(c.kept+kernelBytes) {
+				t.Errorf("%d bytes were taken in %d calls, %d may be kept", sent, ti.runs.Load(), c.kept)
+			}
+			if time.Since(start) > 20*time.Second {
+				t.Errorf("the caller waited for %s", time.Since(start))
+			}
+		})
+	}
+}
--- a/internal/edge/ingress/streams.go
+++ b/internal/edge/ingress/streams.go
@@ -111,36 +111,41 @@
 	arrived time.Time
 }
 
-// readEvent reads an event up to the empty line that ends it. It returns io.EOF
-// at the end of a complete stream, and any other error if the stream is
+// readEvent reads an event up to the empty line that ends it, with the empty lines before it.
+// It returns io.EOF at the end of a complete stream, and any other error if the stream is
 // incomplete.
 func readEvent(reader *bufio.Reader) (event, error) {
 	var e event
-	lineStart := 0
+	// lineStart is where the current line begins, and begun is true after a line that is not
+	// blank.
+	lineStart, begun := 0, false
 	for {
 		part, err := reader.ReadSlice('\n')
+		if len(e.raw)+len(part) > maxEventBytes {
+			return event{}, errEventTooLarge
+		}
 		e.raw = append(e.raw, part...)
-		if (err == nil || errors.Is(err, io.EOF)) && isHeadLine(e.raw[lineStart:]) {
+		line := e.raw[lineStart:]
+		if (err == nil || errors.Is(err, io.EOF)) && isHeadLine(line) {
 			return event{}, errAnswerHead
 		}
 		switch {
-		case errors.Is(err, bufio.ErrBufferFull) && len(e.raw) < maxEventBytes:
-			continue
 		case errors.Is(err, bufio.ErrBufferFull):
-			return event{}, errEventTooLarge
-		case errors.Is(err, io.EOF) && len(bytes.TrimSpace(e.raw)) > 0:
+			continue
+		case errors.Is(err, io.EOF) && (begun || len(bytes.TrimSpace(line)) > 0):
 			return event{}, errPartialEvent
 		case err != nil:
 			return event{}, err
 		}
-		content := bytes.TrimRight(e.raw[lineStart:], "\r\n")
+		content := bytes.TrimRight(line, "\r\n")
 		lineStart = len(e.raw)
 		if id, ok := bytes.CutPrefix(content, []byte("id:")); ok {
 			e.id = string(bytes.TrimSpace(id))
 		}
-		if len(content) == 0 && len(bytes.TrimSpace(e.raw)) > 0 {
+		if len(content) == 0 && begun {
 			return e, nil
 		}
+		begun = begun || len(bytes.TrimSpace(content)) > 0
 	}
 }
 
