Count the bytes of an event while it is read

Each stream may hold an event of 1 MiB without an end, and appending doubles that, while the budget of the process counts an event only once it is whole. Cause: the claim was extended after the event was read. Change: readEvent claims bytes before it keeps them and gives them back with an error. Evidence: TestUnfinishedEventsCount failed before: of 200 kB without an end and a budget of 100 KiB nothing was counted until the stream's idle timeout.

--- a/internal/edge/ingress/endless_test.go
+++ b/internal/edge/ingress/endless_test.go
@@ -1,11 +1,14 @@
 package ingress
 
 import (
+	"io"
 	"net/http"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
+
 	"mimosayard/internal/standin/httpserver"
 )
 
@@ -59,3 +62,29 @@
 		})
 	}
 }
+
+// TestUnfinishedEventsCount guards against events that take memory beyond the budget as long as
+// they have no end.
+func TestUnfinishedEventsCount(t *testing.T) {
+	is := is.New(t)
+	ended := make(chan struct{})
+	ti := newTestIngress(t, func(w http.ResponseWriter, r *http.Request) {
+		startEvents(w, r, "x")
+		sendEvents(w, 1, 1)
+		for range 20 {
+			_, _ = io.WriteString(w, "data: "+strings.Repeat("x", 10<<10)+"\n")
+		}
+		_ = http.NewResponseController(w).Flush()
+		<-ended
+	})
+	defer close(ended)
+	ti.setBudget(100<<10, 1<<20)
+	start := time.Now()
+	_, body, err := ti.get(t, "/stream/x")
+	is.True(err != nil) // It looks complete.
+	is.True(strings.HasPrefix(body, "id: 1"))
+	is.True(time.Since(start) < minStreamIdleTimeout)
+	is.Equal(ti.runs.Load(), int64(1))
+	is.Equal(ti.server.Budget.Counts().Refused, int64(1))
+	is.Equal(ti.server.Budget.Held(), int64(0))
+}
--- a/internal/edge/ingress/readahead.go
+++ b/internal/edge/ingress/readahead.go
@@ -5,6 +5,8 @@
 	"errors"
 	"sync"
 	"time"
+
+	"mimosayard/internal/net/budget"
 )
 
 const (
@@ -59,11 +61,7 @@
 	ahead := r.ahead
 	r.mutex.Unlock()
 	if !ahead {
-		e, err := r.read()
-		if err == nil {
-			err = r.exchange.answerClaim.Grow(int64(len(e.raw)))
-		}
-		return e, err
+		return r.read(r.exchange.answerClaim.Grow)
 	}
 	for {
 		r.mutex.Lock()
@@ -86,19 +84,34 @@
 
 // release gives back what an event holds.
 func (r *eventReader) release(e event) {
+	_ = r.tryClaim(-int64(len(e.raw)))
+}
+
+// tryClaim claims bytes without a wait, also less than none.
+func (r *eventReader) tryClaim(n int64) error {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	_ = r.exchange.answerClaim.TryGrow(-int64(len(e.raw)))
+	return r.exchange.answerClaim.TryGrow(n)
 }
 
-// read reads an event from the upstream.
-func (r *eventReader) read() (event, error) {
-	e, err := readEvent(r.reader)
-	if err == nil {
-		e.arrived = time.Now()
-		r.onRead(e.arrived)
+// read reads an event from the upstream and claims its bytes as they arrive. It gives back those
+// of an event that it does not return.
+func (r *eventReader) read(claim func(n int64) error) (event, error) {
+	claimed := int64(0)
+	e, err := readEvent(r.reader, func(n int64) error {
+		err := claim(n)
+		if err == nil {
+			claimed += n
+		}
+		return err
+	})
+	if err != nil {
+		_ = r.tryClaim(-claimed)
+		return e, err
 	}
-	return e, err
+	e.arrived = time.Now()
+	r.onRead(e.arrived)
+	return e, nil
 }
 
 // beginWrite lets the upstream be read on if the write that follows lasts.
@@ -136,7 +149,7 @@
 	r.mutex.Unlock()
 	defer close(r.done)
 	for more := true; more; {
-		e, err := r.read()
+		e, err := r.read(r.tryClaim)
 		if err != nil {
 			r.onEnd()
 		}
@@ -149,8 +162,7 @@
 func (r *eventReader) append(e event, err error) bool {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	if err == nil && (r.unreadBytes > 0 && r.unreadBytes+len(e.raw) > maxUnreadBytes ||
-		r.exchange.answerClaim.TryGrow(int64(len(e.raw))) != nil) {
+	if err == nil && r.unreadBytes > 0 && r.unreadBytes+len(e.raw) > maxUnreadBytes || errors.Is(err, budget.ErrShort) {
 		err = errCallerSlow
 		_ = r.exchange.controller.SetWriteDeadline(past)
 	}
--- a/internal/edge/ingress/streams.go
+++ b/internal/edge/ingress/streams.go
@@ -112,9 +112,9 @@
 }
 
 // readEvent reads an event up to the empty line that ends it, with the empty lines before it.
-// It returns io.EOF at the end of a complete stream, and any other error if the stream is
-// incomplete.
-func readEvent(reader *bufio.Reader) (event, error) {
+// It claims the bytes before it keeps them. It returns io.EOF at the end of a complete stream,
+// and any other error if the stream is incomplete.
+func readEvent(reader *bufio.Reader, claim func(n int64) error) (event, error) {
 	var e event
 	// lineStart is where the current line begins, and begun is true after a line that is not
 	// blank.
@@ -124,6 +124,9 @@
 		if len(e.raw)+len(part) > maxEventBytes {
 			return event{}, errEventTooLarge
 		}
+		if err := claim(int64(len(part))); err != nil {
+			return event{}, err
+		}
 		e.raw = append(e.raw, part...)
 		line := e.raw[lineStart:]
 		if (err == nil || errors.Is(err, io.EOF)) && isHeadLine(line) {
