Bound the lines of an engine's stream that are no events

Seen by callers: none of their answers is lost, but the call of a faulty engine that sends comments or empty lines without end lasts until its caller's deadline, and an instance reads 256 MiB of them in 7 to 13 s. A single line was bounded at 1 MiB, but counted in no budget until it was whole. Cause: lines that are no events were skipped without a count, and each restarted the progress timeout. Change: lineReader takes the place of bufio.Scanner. It bounds all lines from one event to the next like one event, and claims what a line holds beyond the buffer of 4 KiB from the budget of the request before it keeps it.

--- a/internal/backend/upstreams/chat.go
+++ b/internal/backend/upstreams/chat.go
@@ -53,6 +53,10 @@
 	OnLoad func(routing.LoadReport)
 	// OnLimit receives what the answer says of the upstream's limit, unless nil.
 	OnLimit LimitFunc
+	// Claim extends what the call holds in memory, also by less than none, before a line
+	// that is longer than the reader's buffer is kept. An error ends the call, which returns
+	// it. It may be nil.
+	Claim func(n int64) error
 	// OnEvent receives each event before the end of the stream. An error ends
 	// the call, which returns it.
 	OnEvent func(ChatEvent) error
@@ -85,7 +89,8 @@
 }
 
 const (
-	// maxEventBytes bounds the size of a line of the stream.
+	// maxEventBytes bounds the size of a line of the stream, and of all lines from one event
+	// to the next.
 	maxEventBytes = 1 << 20
 	// doneMarker is the data of the last event of a complete stream.
 	doneMarker = "[DONE]"
@@ -124,7 +129,11 @@
 	if report, ok := ParseLoadReport(response.Header, time.Now()); ok && callbacks.OnLoad != nil {
 		callbacks.OnLoad(report)
 	}
-	usage, err := readEvents(response.Body, func() { a.timer.Reset(c.progressTimeout()) }, callbacks.OnEvent)
+	claim := callbacks.Claim
+	if claim == nil {
+		claim = func(int64) error { return nil }
+	}
+	usage, err := readEvents(response.Body, func() { a.timer.Reset(c.progressTimeout()) }, claim, callbacks.OnEvent)
 	var broken streamError
 	if errors.As(err, &broken) {
 		fault := c.classifyError(ctx, a, call.Address, broken.error)
@@ -147,7 +156,7 @@
 }
 
 // streamError wraps an error in reading or decoding the stream, as opposed to
-// an error that OnEvent returned.
+// an error that a callback returned.
 type streamError struct{ error }
 
 // checkResponse returns a fault unless the response has status 200 and echoes
@@ -206,17 +215,22 @@
 }
 
 // readEvents reads server-sent events up to [DONE] and returns the last usage
-// reported. It calls onLine for each line and onEvent for each event.
-func readEvents(body io.Reader, onLine func(), onEvent func(ChatEvent) error) (Usage, error) {
+// reported. It calls onLine for each line, claim before it keeps a long line, and
+// onEvent for each event.
+func readEvents(body io.Reader, onLine func(), claim func(n int64) error, onEvent func(ChatEvent) error) (Usage, error) {
 	var usage Usage
-	lines := bufio.NewScanner(body)
-	lines.Buffer(make([]byte, 0, 4096), maxEventBytes)
-	for lines.Scan() {
+	lines := lineReader{reader: bufio.NewReader(body), claim: claim}
+	for {
+		line, err := lines.next()
+		if err != nil {
+			return usage, err
+		}
 		onLine()
-		data, ok := bytes.CutPrefix(lines.Bytes(), dataField)
+		data, ok := bytes.CutPrefix(line, dataField)
 		if !ok {
 			continue
 		}
+		lines.skipped = 0
 		data = bytes.TrimSpace(data)
 		if string(data) == doneMarker {
 			return usage, nil
@@ -236,11 +250,4 @@
 			return usage, err
 		}
 	}
-	switch err := lines.Err(); {
-	case errors.Is(err, bufio.ErrTooLong):
-		return usage, streamError{errEventTooLarge}
-	case err != nil:
-		return usage, streamError{err}
-	}
-	return usage, streamError{io.ErrUnexpectedEOF}
 }
--- a/internal/backend/upstreams/upstreams_test.go
+++ b/internal/backend/upstreams/upstreams_test.go
@@ -147,7 +147,7 @@
 	f.Add("data: [DONE]")
 	f.Add(":\n\ndata:{}\n")
 	f.Fuzz(func(t *testing.T, text string) {
-		_, err := readEvents(strings.NewReader(text), func() {}, func(ChatEvent) error { return nil })
+		_, err := readEvents(strings.NewReader(text), func() {}, func(int64) error { return nil }, func(ChatEvent) error { return nil })
 		if err == nil && !strings.Contains(text, doneMarker) {
 			t.Fatalf("an answer without [DONE] was taken as complete: %q", text)
 		}
--- a/internal/edge/callers/chat.go
+++ b/internal/edge/callers/chat.go
@@ -262,6 +262,12 @@
 			x.server.Router.RecordLoad(step.Pool.Name, step.Choice.Upstream.Config.Name, report)
 		},
 		OnLimit: x.limitRecorder(step),
+		Claim: func(n int64) error {
+			if err := x.answerClaim.Grow(n); err != nil {
+				return faults.New(faults.AnswerDropped, "")
+			}
+			return nil
+		},
 		OnEvent: c.handleEvent,
 	})
 	if err == nil && !c.accepted {
