Read answers to their end and within a bound

Seen by operators of other systems: a faulty server sent bytes without end in a body, and the machine that had called it kept them all and ran out of memory. Shown here with a stand-in that sends up to 256 MiB on a connection: the list and the watch of objects, the list of instances, ratings and the commands status and quarantine keep all of it in about a second, well within their timeouts. Beside that, bodies that are cut or go on without end count: the answer to a write of an object, answers for rating, lists behind whose JSON a part is missing, an object, cut at 1 MiB and a byte, and all writes to the store of the shared platform. Cause: these readers decode JSON from the connection, which buffers a value of any size and stops at its end, or stop at a limit without noticing it, or do not read the body at all. Change: http1.ReadBody reads a body to its end and returns ErrTooLarge beyond a bound, 16 MiB for all but objects; http1.DecodeJSON decodes what it returns. Only load reports and answers to orders, whose heads say all, are not read.

--- a/internal/backend/raters/raters.go
+++ b/internal/backend/raters/raters.go
@@ -99,7 +99,8 @@
 		return trace.ConnectionProblem(nil, "the rating service answered %s", response.Status)
 	}
 	if result == nil {
-		return nil
+		_, err := http1.ReadBody(response, http1.MaxBodyBytes)
+		return trace.Wrap(err)
 	}
-	return trace.Wrap(json.NewDecoder(response.Body).Decode(result))
+	return trace.Wrap(http1.DecodeJSON(response, result))
 }
--- a/internal/cli/commands/quarantinecmd.go
+++ b/internal/cli/commands/quarantinecmd.go
@@ -1,7 +1,6 @@
 package commands
 
 import (
-	"encoding/json"
 	"net/http"
 	"net/url"
 	"time"
@@ -57,7 +56,7 @@
 		return trace.BadParameter("%s has no quarantine", *instance)
 	}
 	var entries []quarantine.Entry
-	if err := json.NewDecoder(response.Body).Decode(&entries); err != nil {
+	if err := http1.DecodeJSON(response, &entries); err != nil {
 		return trace.BadParameter("the answer of %s is not a quarantine", *instance)
 	}
 	if *asJSON {
--- a/internal/cli/commands/statuscmd.go
+++ b/internal/cli/commands/statuscmd.go
@@ -1,7 +1,6 @@
 package commands
 
 import (
-	"encoding/json"
 	"net/http"
 	"time"
 
@@ -46,7 +45,7 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	var status service.Status
-	if err := json.NewDecoder(response.Body).Decode(&status); err != nil {
+	if err := http1.DecodeJSON(response, &status); err != nil {
 		return trace.BadParameter("the answer of %s is not a status", *instance)
 	}
 	if *asJSON {
--- a/internal/cli/demo/shared.go
+++ b/internal/cli/demo/shared.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"strings"
 	"time"
@@ -235,7 +234,7 @@
 		return "", trace.Wrap(err)
 	}
 	defer func() { _ = response.Body.Close() }()
-	text, err := io.ReadAll(response.Body)
+	text, err := http1.ReadBody(response, http1.MaxBodyBytes)
 	return "stamp " + response.Header.Get("X-Server-Stamp") + "\n" + string(text), trace.Wrap(err)
 }
 
@@ -260,7 +259,7 @@
 		return "", trace.Wrap(err)
 	}
 	defer func() { _ = response.Body.Close() }()
-	text, err := io.ReadAll(response.Body)
+	text, err := http1.ReadBody(response, http1.MaxBodyBytes)
 	return string(text), trace.Wrap(err)
 }
 
--- a/internal/cli/demo/traffic.go
+++ b/internal/cli/demo/traffic.go
@@ -19,6 +19,7 @@
 
 	"mimosayard/internal/core/tables"
 	"mimosayard/internal/instance/service"
+	"mimosayard/internal/net/http1"
 )
 
 // caller is a simulated client that sends one request at a time.
@@ -143,7 +144,7 @@
 		return status, trace.Wrap(err)
 	}
 	defer func() { _ = response.Body.Close() }()
-	return status, trace.Wrap(json.NewDecoder(response.Body).Decode(&status))
+	return status, trace.Wrap(http1.DecodeJSON(response, &status))
 }
 
 // teams returns the teams of the routes table, each once.
--- a/internal/net/http1/readers_test.go
+++ b/internal/net/http1/readers_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -27,6 +28,9 @@
 type reader struct {
 	// fields and body are those of an answer that the reader accepts.
 	fields, body string
+	// stopsEarly is true if the body is not read to its end, since the head or a mark within
+	// the body says all.
+	stopsEarly bool
 	// call makes the call to an address. It returns an error unless the answer is accepted.
 	call func(ctx context.Context, address string) error
 }
@@ -37,30 +41,30 @@
 // readers returns all readers of answers over HTTP by name.
 func readers() map[string]reader {
 	all := map[string]reader{
-		"a load report": {"X-Load-Running: 1\r\nX-Load-Waiting-Tokens: 2\r\n", "", func(ctx context.Context, address string) error {
+		"a load report": {"X-Load-Running: 1\r\nX-Load-Waiting-Tokens: 2\r\n", "", true, func(ctx context.Context, address string) error {
 			if _, ok := (&upstreams.Client{}).FetchLoad(ctx, address); !ok {
 				return errors.New("no load report")
 			}
 			return nil
 		}},
-		"the answer to an order": {"", "", func(ctx context.Context, address string) error {
+		"the answer to an order": {"", "", true, func(ctx context.Context, address string) error {
 			return (&upstreams.Client{}).SendOrder(ctx, address, upstreams.Order{Subject: "s"})
 		}},
-		"ratings": {"", `{"ratings":[],"next":1}`, func(ctx context.Context, address string) error {
+		"ratings": {"", `{"ratings":[],"next":1}`, false, func(ctx context.Context, address string) error {
 			_, err := (&raters.Client{BaseURL: "http://" + address}).Fetch(ctx, "i")
 			return err
 		}},
-		"the answer to answers for rating": {"", "{}", func(ctx context.Context, address string) error {
+		"the answer to answers for rating": {"", "{}", false, func(ctx context.Context, address string) error {
 			return (&raters.Client{BaseURL: "http://" + address}).Submit(ctx, []raters.Answer{{RequestID: "r"}})
 		}},
-		"the list of instances": {"", `{"instances":[]}`, func(ctx context.Context, address string) error {
+		"the list of instances": {"", `{"instances":[]}`, false, func(ctx context.Context, address string) error {
 			_, err := (&directory.Client{BaseURL: "http://" + address}).List(ctx)
 			return err
 		}},
-		"the command status": {"", "{}", func(_ context.Context, address string) error {
+		"the command status": {"", "{}", false, func(_ context.Context, address string) error {
 			return runCommand("status", "-instance", "http://"+address)
 		}},
-		"the command quarantine": {"", "[]", func(_ context.Context, address string) error {
+		"the command quarantine": {"", "[]", false, func(_ context.Context, address string) error {
 			return runCommand("quarantine", "-instance", "http://"+address)
 		}},
 	}
@@ -72,7 +76,7 @@
 
 // addUpstreamReaders adds the readers of answers that go on to callers.
 func addUpstreamReaders(all map[string]reader) {
-	all["an answer of the shared platform"] = reader{"X-Attempt-Id: r\r\n", "{}", func(ctx context.Context, address string) error {
+	all["an answer of the shared platform"] = reader{"X-Attempt-Id: r\r\n", "{}", false, func(ctx context.Context, address string) error {
 		request := forward.Request{Address: address, Method: http.MethodPost, Target: "/x", Host: "h", Header: http.Header{}, Body: []byte("body")}
 		response, err := forward.New(connect.Direct).Send(ctx, request)
 		if err != nil {
@@ -83,14 +87,14 @@
 		return err
 	}}
 	for name, atMostOnce := range map[string]bool{"an answer of a plain service": true, "an answer to a call that may be repeated": false} {
-		all[name] = reader{"X-Request-Id: r\r\n", "{}", func(ctx context.Context, address string) error {
+		all[name] = reader{"X-Request-Id: r\r\n", "{}", false, func(ctx context.Context, address string) error {
 			_, err := (&upstreams.Client{}).CallPlain(ctx, upstreams.PlainCall{
 				Address: address, RequestID: "r", Method: http.MethodPost, Path: "/x", AtMostOnce: atMostOnce,
 			})
 			return err
 		}}
 	}
-	all["an answer of an engine"] = reader{"X-Request-Id: r\r\n", events, func(ctx context.Context, address string) error {
+	all["an answer of an engine"] = reader{"X-Request-Id: r\r\n", events, true, func(ctx context.Context, address string) error {
 		_, err := (&upstreams.Client{}).StreamChat(ctx, upstreams.ChatCall{Address: address, RequestID: "r"}, upstreams.ChatCallbacks{
 			OnEvent: func(upstreams.ChatEvent) error { return nil },
 		})
@@ -122,7 +126,7 @@
 			return err
 		}},
 	} {
-		all[name] = reader{r.fields, r.body, func(ctx context.Context, address string) error {
+		all[name] = reader{r.fields, r.body, false, func(ctx context.Context, address string) error {
 			return r.call(ctx, &objects.Client{BaseURL: "http://" + address})
 		}}
 	}
@@ -152,7 +156,7 @@
 			return s.Delete(ctx, platform.KindServers, "o")
 		}},
 	} {
-		all["in the shared platform, "+name] = reader{"", r.body, func(ctx context.Context, address string) error {
+		all["in the shared platform, "+name] = reader{"", r.body, false, func(ctx context.Context, address string) error {
 			return r.call(ctx, &platform.Store{BaseURL: "http://" + address, HTTPClient: http1.DefaultClient})
 		}}
 	}
@@ -217,3 +221,68 @@
 func TestReadersRefuseChunksInHTTP10(t *testing.T) {
 	assertRefused(t, "HTTP/1.0 200 OK", "Transfer-Encoding: chunked\r\n")
 }
+
+// kernelBytes is more than the kernel's buffers hold of a connection over loopback.
+const kernelBytes = 16 << 20
+
+// TestReadersBoundAnswersWithoutEnd guards against a process that keeps all of what another one
+// sends without end in its memory.
+func TestReadersBoundAnswersWithoutEnd(t *testing.T) {
+	const statusLine = "HTTP/1.1 200 OK\r\n"
+	for name, answer := range map[string]func(r reader) (head, piece string){
+		"a status line":     func(reader) (string, string) { return "HTTP/1.1 200 ", "x" },
+		"a field":           func(r reader) (string, string) { return statusLine + r.fields + "X-Field: ", "x" },
+		"fields":            func(r reader) (string, string) { return statusLine + r.fields, "X-Field: value\r\n" },
+		"interim answers":   func(reader) (string, string) { return "", "HTTP/1.1 100 Continue\r\n\r\n" },
+		"blanks":            func(r reader) (string, string) { return statusLine + r.fields + "\r\n", " " },
+		"a text":            func(r reader) (string, string) { return statusLine + r.fields + "\r\n{\"x\":\"", "x" },
+		"a list":            func(r reader) (string, string) { return statusLine + r.fields + "\r\n[", "[]," },
+		"a nested list":     func(r reader) (string, string) { return statusLine + r.fields + "\r\n", "[" },
+		"blanks after JSON": func(r reader) (string, string) { return statusLine + r.fields + "\r\n" + r.body, " " },
+		"a list in chunks": func(r reader) (string, string) {
+			return statusLine + r.fields + "Transfer-Encoding: chunked\r\n\r\n", "400\r\n" + strings.Repeat(" ", 0x400) + "\r\n"
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for readerName, r := range readers() {
+				if readerName == "an answer of the shared platform" {
+					// Its body is left to the front door.
+					continue
+				}
+				t.Run(readerName, func(t *testing.T) {
+					head, piece := answer(r)
+					endless := &httpserver.Endless{Head: head, Piece: piece}
+					server := httptest.NewServer(endless)
+					defer server.Close()
+					start := time.Now()
+					err := r.call(t.Context(), server.Listener.Addr().String())
+					if endless.Sent() > http1.MaxBodyBytes+kernelBytes {
+						t.Errorf("%d bytes were taken in %s", endless.Sent(), time.Since(start))
+					}
+					if err == nil && !r.stopsEarly {
+						t.Error("the answer is accepted")
+					}
+				})
+			}
+		})
+	}
+}
+
+// TestReadersRefuseCutBodies guards against an answer that counts though its end is missing.
+func TestReadersRefuseCutBodies(t *testing.T) {
+	for name, r := range readers() {
+		if r.stopsEarly {
+			continue
+		}
+		for framing, sent := range map[string]string{
+			"with a length": fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(r.body)+1, r.body),
+			"in chunks":     fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s ", len(r.body)+2, r.body),
+		} {
+			t.Run(name+" "+framing, func(t *testing.T) {
+				if r.result(t, "HTTP/1.1 200 OK\r\n"+r.fields+sent) == nil {
+					t.Error("a cut answer is accepted")
+				}
+			})
+		}
+	}
+}
--- a/internal/platform/directory/directory.go
+++ b/internal/platform/directory/directory.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/http"
 	"time"
 
@@ -79,7 +78,7 @@
 		return nil, trace.ConnectionProblem(nil, "the platform's instance list answered %s", response.Status)
 	}
 	var answer listResponse
-	if err := json.NewDecoder(response.Body).Decode(&answer); err != nil {
+	if err := http1.DecodeJSON(response, &answer); err != nil {
 		return nil, trace.ConnectionProblem(err, "cannot decode the platform's instance list")
 	}
 	entries := make([]Entry, 0, len(answer.Instances))
--- a/internal/platform/objects/objects.go
+++ b/internal/platform/objects/objects.go
@@ -5,7 +5,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -111,7 +110,7 @@
 	default:
 		return Object{}, statusError(response)
 	}
-	value, err := io.ReadAll(io.LimitReader(response.Body, MaxValueBytes+1))
+	value, err := http1.ReadBody(response, MaxValueBytes)
 	if err != nil {
 		return Object{}, trace.ConnectionProblem(err, "cannot read the value of object %q", key)
 	}
@@ -150,6 +149,9 @@
 	defer drainAndClose(response)
 	switch response.StatusCode {
 	case http.StatusOK, http.StatusCreated:
+		if _, err := http1.ReadBody(response, http1.MaxBodyBytes); err != nil {
+			return 0, trace.ConnectionProblem(err, "cannot read the answer to the write of object %q", key)
+		}
 		written, err := parseVersion(response)
 		return written, trace.Wrap(err)
 	case http.StatusPreconditionFailed:
@@ -240,7 +242,7 @@
 		return nil, 0, statusError(response)
 	}
 	var answer listResponse
-	if err := json.NewDecoder(response.Body).Decode(&answer); err != nil {
+	if err := http1.DecodeJSON(response, &answer); err != nil {
 		return nil, 0, trace.ConnectionProblem(err, "cannot decode the list of objects")
 	}
 	objects := make([]Object, 0, len(answer.Changes))
