Refuse objects that are cut right after their head

Change: RequireBody moves to http1, and objects.Get calls it. Answers to writes, whose status says all, and JSON, of which nothing is not a value, need no such check.

--- a/internal/backend/forward/forward.go
+++ b/internal/backend/forward/forward.go
@@ -96,7 +96,7 @@
 	response, err := c.transport.RoundTrip(request) //nolint:bodyclose // The caller closes the response body.
 	switch {
 	case err == nil:
-		connect.RequireBody(response)
+		http1.RequireBody(response)
 		return &Response{Status: response.StatusCode, Header: response.Header, Body: response.Body}, nil
 	case connected.Load():
 		return nil, trace.Wrap(err)
--- a/internal/backend/upstreams/plain.go
+++ b/internal/backend/upstreams/plain.go
@@ -11,10 +11,10 @@
 	"net/http"
 	"strconv"
 
-	"mimosayard/internal/backend/connect"
 	"mimosayard/internal/core/faults"
 	"mimosayard/internal/core/tables"
 	"mimosayard/internal/net/budget"
+	"mimosayard/internal/net/http1"
 )
 
 // An Order instructs an engine to load something or to change its role.
@@ -85,7 +85,7 @@
 		return PlainResponse{}, faults.New(faults.AnswerMismatched, "")
 	}
 	call.OnLimit.report(response.Header, call.RequestID)
-	connect.RequireBody(response)
+	http1.RequireBody(response)
 	a.timer.Reset(c.progressTimeout())
 	readBody := call.ReadBody
 	if readBody == nil {
--- a/internal/net/http1/readers_test.go
+++ b/internal/net/http1/readers_test.go
@@ -54,7 +54,7 @@
 			_, err := (&raters.Client{BaseURL: "http://" + address}).Fetch(ctx, "i")
 			return err
 		}},
-		"the answer to answers for rating": {"", "{}", false, func(ctx context.Context, address string) error {
+		"the answer to answers for rating": {"", "", false, func(ctx context.Context, address string) error {
 			return (&raters.Client{BaseURL: "http://" + address}).Submit(ctx, []raters.Answer{{RequestID: "r"}})
 		}},
 		"the list of instances": {"", `{"instances":[]}`, false, func(ctx context.Context, address string) error {
@@ -146,13 +146,13 @@
 			_, _, err := s.Watch(ctx, platform.KindServers, platform.Position{Revision: 2}, time.Second)
 			return err
 		}},
-		"the answer to a status": {"{}", func(ctx context.Context, s *platform.Store) error {
+		"the answer to a status": {"", func(ctx context.Context, s *platform.Store) error {
 			return s.PutStatus(ctx, platform.KindServers, "o", platform.Position{Revision: 2}, struct{}{})
 		}},
-		"the answer to a new object": {"{}", func(ctx context.Context, s *platform.Store) error {
+		"the answer to a new object": {"", func(ctx context.Context, s *platform.Store) error {
 			return s.Create(ctx, platform.KindServers, "o")
 		}},
-		"the answer to a removal": {"{}", func(ctx context.Context, s *platform.Store) error {
+		"the answer to a removal": {"", func(ctx context.Context, s *platform.Store) error {
 			return s.Delete(ctx, platform.KindServers, "o")
 		}},
 	} {
@@ -222,6 +222,22 @@
 	assertRefused(t, "HTTP/1.0 200 OK", "Transfer-Encoding: chunked\r\n")
 }
 
+// TestReadersRefuseCutsAfterTheHead guards against an answer that counts as empty, since the other
+// process closed the connection before the body.
+func TestReadersRefuseCutsAfterTheHead(t *testing.T) {
+	for name, r := range readers() {
+		if r.body == "" {
+			// The status says all.
+			continue
+		}
+		t.Run(name, func(t *testing.T) {
+			if r.result(t, "HTTP/1.1 200 OK\r\n"+r.fields+"\r\n") == nil {
+				t.Error("a cut answer is accepted")
+			}
+		})
+	}
+}
+
 // kernelBytes is more than the kernel's buffers hold of a connection over loopback.
 const kernelBytes = 16 << 20
 
--- a/internal/platform/objects/objects.go
+++ b/internal/platform/objects/objects.go
@@ -110,6 +110,7 @@
 	default:
 		return Object{}, statusError(response)
 	}
+	http1.RequireBody(response)
 	value, err := http1.ReadBody(response, MaxValueBytes)
 	if err != nil {
 		return Object{}, trace.ConnectionProblem(err, "cannot read the value of object %q", key)
