--- a/internal/instance/service/upstreams_test.go
+++ b/internal/instance/service/upstreams_test.go
@@ -4,8 +4,11 @@
 	"bytes"
 	"io"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"time"
+
+	"mimosayard/internal/standin/httpserver"
 )
 
 // A testUpstream is an upstream that may name a limit on its calls, and that ends when it
@@ -21,6 +24,9 @@
 	work time.Duration
 	// hang is true while the upstream answers no request, unless its caller leaves.
 	hang atomic.Bool
+	// broken are the bytes that the upstream sends in place of each answer, but for load
+	// reports, unless nil. ID stands for the request's ID.
+	broken atomic.Pointer[string]
 }
 
 const (
@@ -55,6 +61,10 @@
 	if r.URL.Path != "/v1/load" {
 		time.Sleep(s.work)
 	}
+	if sent := s.broken.Load(); sent != nil && r.URL.Path != "/v1/load" {
+		httpserver.CloseAfter(strings.ReplaceAll(*sent, "ID", r.Header.Get("X-Request-Id")))(w, r)
+		return
+	}
 	if bytes.Contains(body, []byte(rejectedText)) {
 		w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
 		w.WriteHeader(http.StatusBadRequest)
