Take no malformed answer for a crash of its upstream

Seen by callers: a sound request that met malformed answers of three upstreams, all of which lived on, was refused as one that crashes upstreams, by all instances, at both doors. Bytes that are no answer and bodies that are too large had that effect before; since heads are checked, status 000 and lines that are no fields would too. Cause: any call that fails on a connection is a lost connection, which is evidence that its upstream has ended. Change: a malformed head, a body and an event that are too large are results of their own: the call has failed and the upstream pauses as before, but nothing counts as lost. http1.Transport returns ErrMalformed also where net/http has met the malformed line first, and for heads that are too large. All pass now.

--- a/internal/backend/upstreams/upstreams.go
+++ b/internal/backend/upstreams/upstreams.go
@@ -167,8 +167,9 @@
 // call made no progress or reached its deadline, an interruption if the instance
 // stops, a cancellation if the context ended for another reason, and otherwise a
 // failure of the upstream. The fault's run state is RunNo only if the call never got
-// a connection. A timeout also closes the idle connections to the address, which may
-// be dead too.
+// a connection. An upstream that gives a malformed answer, or one without end, lives on,
+// so its connection does not count as lost. A timeout also closes the idle connections to
+// the address, which may be dead too.
 func (c *Client) classifyError(ctx context.Context, a *attempt, address string, err error) *faults.Error {
 	kind := faults.UpstreamFailed
 	switch cause := context.Cause(ctx); {
@@ -181,7 +182,8 @@
 		kind = faults.Canceled
 	}
 	fault := faults.New(kind, err.Error())
-	fault.ConnectionLost = kind == faults.UpstreamFailed && a.connected.Load()
+	lives := errors.Is(err, http1.ErrMalformed) || errors.Is(err, errEventTooLarge)
+	fault.ConnectionLost = kind == faults.UpstreamFailed && a.connected.Load() && !lives
 	if !a.connected.Load() {
 		fault.Run = faults.RunNo
 	}
--- a/internal/core/dispatch/task.go
+++ b/internal/core/dispatch/task.go
@@ -158,7 +158,8 @@
 	Failed
 	// Broken is an answer whose connection was lost.
 	Broken
-	// Mismatched is an answer that does not belong to the request.
+	// Mismatched is an answer that does not belong to the request, is malformed or has no
+	// end. The upstream lives on.
 	Mismatched
 	// TimedOut is an answer for which the router stopped waiting.
 	TimedOut
--- a/internal/edge/ingress/calls.go
+++ b/internal/edge/ingress/calls.go
@@ -24,6 +24,7 @@
 	"mimosayard/internal/core/quarantine"
 	"mimosayard/internal/core/tables"
 	"mimosayard/internal/net/budget"
+	"mimosayard/internal/net/http1"
 	"mimosayard/platform"
 )
 
@@ -272,6 +273,8 @@
 		return dispatch.TimedOut, false, faults.New(faults.UpstreamTimeout, context.Cause(ctx).Error())
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return dispatch.Abandoned, true, faults.New(faults.UpstreamTimeout, "the time is over")
+	case errors.Is(err, http1.ErrMalformed), errors.Is(err, errResponseTooLarge), errors.Is(err, errEventTooLarge):
+		return dispatch.Mismatched, false, faults.New(faults.UpstreamFailed, err.Error())
 	case errors.Is(err, links.ErrPeerLost):
 		return dispatch.LinkLost, false, faults.New(faults.AnswerIncomplete, links.ErrPeerLost.Error())
 	}
--- a/internal/edge/ingress/malformed_test.go
+++ b/internal/edge/ingress/malformed_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	"github.com/matryer/is"
@@ -67,3 +68,41 @@
 		t.Run(path, func(t *testing.T) { assertBadGateway(t, path, chunks) })
 	}
 }
+
+// TestMalformedAnswersAreNoCrashes guards against a request that is refused as one that crashes
+// upstreams since several of them, which live on, gave malformed answers to it.
+func TestMalformedAnswersAreNoCrashes(t *testing.T) {
+	const head = "X-Attempt-Id: id-1\r\nX-Server-Stamp: stamp\r\n"
+	for _, c := range []struct{ name, path, sent string }{
+		{"an invalid status", "/safe/x", "HTTP/1.1 000 OK\r\n" + head + "\r\nbody"},
+		{"an invalid field", "/safe/x", "HTTP/1.1 200 OK\r\n" + head + "X Field: value\r\n\r\nbody"},
+		{"bytes that are no answer", "/safe/x", strings.Repeat("x", 1<<10) + "\r\n"},
+		{"bytes without end", "/safe/x", strings.Repeat("x", 1<<20)},
+		{"a body that is too large", "/safe/x", "HTTP/1.1 200 OK\r\n" + head + "\r\n" + strings.Repeat("x", maxResponseBytes+1)},
+		{"an event that is too large", "/stream/x", "HTTP/1.1 200 OK\r\n" + head + "Content-Type: text/event-stream\r\n\r\n" + strings.Repeat("data: x\n", maxEventBytes/4)},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var sound atomic.Bool
+			upstreams := make([]http.HandlerFunc, 6)
+			for n := range upstreams {
+				upstreams[n] = func(w http.ResponseWriter, r *http.Request) {
+					if sound.Load() {
+						startEvents(w, r, "x")
+						sendEvents(w, 1, 1)
+						return
+					}
+					httpserver.CloseAfter(c.sent)(w, r)
+				}
+			}
+			ti := newTestIngress(t, upstreams...)
+			for range 6 {
+				response, _, err := ti.get(t, c.path)
+				assertStatus(t, response, err, http.StatusBadGateway)
+			}
+			is.New(t).True(ti.runs.Load() >= 6)
+			sound.Store(true)
+			response, _, err := ti.get(t, c.path)
+			assertStatus(t, response, err, http.StatusOK)
+		})
+	}
+}
--- a/internal/instance/service/broken_test.go
+++ b/internal/instance/service/broken_test.go
@@ -20,7 +20,8 @@
 		}
 		return f.post(0, "/services/orders/deposits", `"`+text+`"`), f.post(0, chatPath, strings.Replace(chatBody, "wheel", text, 1))
 	}
-	plain, chat := post("HTTP/1.1 200 OK\r\n"+fields+"\r\n"+body, "sound")
+	const sound = "HTTP/1.1 200 OK\r\n" + fields + "\r\n" + body
+	plain, chat := post(sound, "sound")
 	is.New(t).Equal(plain, http.StatusOK)
 	is.New(t).Equal(chat, http.StatusOK)
 	for name, sent := range map[string]string{
@@ -40,4 +41,13 @@
 			is.Equal(chat, http.StatusBadGateway)
 		})
 	}
+	t.Run("a request is not refused for them", func(*testing.T) {
+		for range 12 {
+			post("HTTP/1.1 000 OK\r\n"+fields+"\r\n"+body, "repeated")
+		}
+		f.await("the request is served", func() bool {
+			plain, chat := post(sound, "repeated")
+			return plain == http.StatusOK && chat == http.StatusOK
+		})
+	})
 }
--- a/internal/net/http1/head.go
+++ b/internal/net/http1/head.go
@@ -2,17 +2,19 @@
 
 import (
 	"bytes"
+	"fmt"
 	"net/http"
 
-	"github.com/gravitational/trace"
 	"golang.org/x/net/http/httpguts"
 )
 
 // headChecker checks the lines of the head of an answer, and of the interim answers before it,
 // as they are received. Its zero value expects the status line.
 type headChecker struct {
-	// line is the part of the current line that was received.
+	// line is the part of the current line that was received, and size that of all lines. It
+	// is at most MaxHeadBytes.
 	line []byte
+	size int
 	// inFields is true after the status line, and interim if that is one of an interim
 	// answer.
 	inFields, interim bool
@@ -27,9 +29,13 @@
 func (h *headChecker) check(data []byte) (passed int, err error) {
 	for passed < len(data) && !h.complete {
 		part, _, whole := bytes.Cut(data[passed:], []byte("\n"))
+		if h.size += len(part) + 1; h.size > MaxHeadBytes {
+			return passed, fmt.Errorf("%w: it exceeds %d bytes", ErrMalformed, MaxHeadBytes)
+		}
 		h.line = append(h.line, part...)
 		passed += len(part)
 		if !whole {
+			h.size-- // The line feed has not arrived.
 			break
 		}
 		if err := h.checkLine(bytes.TrimSuffix(h.line, []byte("\r"))); err != nil {
@@ -63,13 +69,13 @@
 func (h *headChecker) checkField(line []byte) error {
 	name, value, ok := bytes.Cut(line, []byte(":"))
 	if !ok || !httpguts.ValidHeaderFieldName(string(name)) {
-		return trace.Wrap(ErrMalformed, "invalid field name")
+		return fmt.Errorf("%w: invalid field name", ErrMalformed)
 	}
 	if !httpguts.ValidHeaderFieldValue(string(value)) {
-		return trace.Wrap(ErrMalformed, "invalid value of the field %q", name)
+		return fmt.Errorf("%w: invalid value of the field %q", ErrMalformed, name)
 	}
 	if h.http10 && bytes.EqualFold(name, []byte("Transfer-Encoding")) {
-		return trace.Wrap(ErrMalformed, "transfer coding in HTTP/1.0")
+		return fmt.Errorf("%w: transfer coding in HTTP/1.0", ErrMalformed)
 	}
 	return nil
 }
@@ -80,17 +86,17 @@
 	const codeStart, codeEnd = len("HTTP/1.1 "), len("HTTP/1.1 200")
 	if len(line) < codeEnd || !bytes.HasPrefix(line, []byte("HTTP/1.")) || line[codeStart-1] != ' ' ||
 		len(line) > codeEnd && line[codeEnd] != ' ' {
-		return 0, trace.Wrap(ErrMalformed, "invalid status line")
+		return 0, fmt.Errorf("%w: invalid status line", ErrMalformed)
 	}
 	status := 0
 	for _, digit := range line[codeStart:codeEnd] {
 		if digit < '0' || digit > '9' {
-			return 0, trace.Wrap(ErrMalformed, "invalid status line")
+			return 0, fmt.Errorf("%w: invalid status line", ErrMalformed)
 		}
 		status = 10*status + int(digit-'0')
 	}
 	if status < http.StatusContinue || status > 599 || status == http.StatusSwitchingProtocols {
-		return 0, trace.Wrap(ErrMalformed, "invalid status %d", status)
+		return 0, fmt.Errorf("%w: invalid status %d", ErrMalformed, status)
 	}
 	return status, nil
 }
--- a/internal/net/http1/transport.go
+++ b/internal/net/http1/transport.go
@@ -4,8 +4,10 @@
 package http1
 
 import (
+	"cmp"
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -14,8 +16,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/gravitational/trace"
-
 	"mimosayard/internal/net/sockets"
 )
 
@@ -66,13 +66,18 @@
 		},
 	})
 	response, err := t.base.RoundTrip(request.WithContext(ctx))
+	conn := used.Load()
+	if err != nil && conn != nil {
+		// net/http may have its own error for the part of the head that it has seen.
+		err = cmp.Or(conn.headError(), err)
+	}
 	if err != nil {
 		return nil, err
 	}
-	if conn := used.Load(); conn != nil && conn.awaitsHead() {
+	if conn != nil && conn.awaitsHead() {
 		// The head was received before the request was sent.
 		_ = response.Body.Close()
-		return nil, trace.Wrap(ErrMalformed, "the answer belongs to no request")
+		return nil, fmt.Errorf("%w: the answer belongs to no request", ErrMalformed)
 	}
 	return response, nil
 }
@@ -100,7 +105,8 @@
 	t.base.DisableCompression = t.DisableCompression
 	t.base.MaxIdleConnsPerHost = t.MaxIdleConnsPerHost
 	t.base.IdleConnTimeout = t.IdleConnTimeout
-	t.base.MaxResponseHeaderBytes = MaxHeadBytes
+	// The checks have a lower bound, except for answers over TLS.
+	t.base.MaxResponseHeaderBytes = 2 * MaxHeadBytes
 }
 
 // checkedConn is a connection that checks the head of the answer to each request.
--- a/internal/net/http1/transport_test.go
+++ b/internal/net/http1/transport_test.go
@@ -45,6 +45,7 @@
 		"a status without a name":   "HTTP/1.1 299 x\r\nContent-Length: 4\r\n\r\n",
 		"interim answers":           "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n",
 		"unusual fields":            "HTTP/1.1 200 OK\r\n!#$%&'*+-.^_`|~9: \t \xe4 \"x\"\t\r\nX-Empty:\r\nContent-Length:4 \r\n\r\n",
+		"a long field":              "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nX-Field: " + strings.Repeat("x", MaxHeadBytes-100) + "\r\n\r\n",
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
