--- a/internal/backend/connect/connect.go
+++ b/internal/backend/connect/connect.go
@@ -81,6 +81,7 @@
 
 // Through returns the peer that carries a connection, empty for a direct one.
 func Through(conn net.Conn) tables.InstanceID {
+	// HTTP clients wrap the connections that DialContext returns.
 	if c, ok := conn.(interface{ NetConn() net.Conn }); ok {
 		conn = c.NetConn()
 	}
--- a/internal/edge/ingress/readahead.go
+++ b/internal/edge/ingress/readahead.go
@@ -162,7 +162,8 @@
 func (r *eventReader) append(e event, err error) bool {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	if err == nil && r.unreadBytes > 0 && r.unreadBytes+len(e.raw) > maxUnreadBytes || errors.Is(err, budget.ErrShort) {
+	overBound := err == nil && r.unreadBytes > 0 && r.unreadBytes+len(e.raw) > maxUnreadBytes
+	if overBound || errors.Is(err, budget.ErrShort) {
 		err = errCallerSlow
 		_ = r.exchange.controller.SetWriteDeadline(past)
 	}
--- a/internal/net/http1/body.go
+++ b/internal/net/http1/body.go
@@ -9,8 +9,7 @@
 	"github.com/gravitational/trace"
 )
 
-// MaxBodyBytes bounds the body of an answer that is read into memory. It is more than the
-// largest list of the largest fleet.
+// MaxBodyBytes bounds the body of an answer that is read into memory.
 const MaxBodyBytes = 16 << 20
 
 // ErrTooLarge is returned for an answer whose body is larger than its bound.
@@ -39,7 +38,7 @@
 }
 
 // RequireBody makes the body of a successful answer incomplete if it is empty, unless the
-// answer is framed or has no body by its nature. The upstream has then closed the connection
+// answer is framed or has no body by its nature. The other process has then closed the connection
 // right after the head, and an answer that is meant to be empty has a length.
 func RequireBody(response *http.Response) {
 	framed := response.ContentLength >= 0 || len(response.TransferEncoding) > 0
--- a/internal/net/http1/transport.go
+++ b/internal/net/http1/transport.go
@@ -4,7 +4,6 @@
 package http1
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -67,19 +66,19 @@
 	})
 	response, err := t.base.RoundTrip(request.WithContext(ctx))
 	conn := used.Load()
-	if err != nil && conn != nil {
-		// net/http may have its own error for the part of the head that it has seen.
-		err = cmp.Or(conn.headError(), err)
-	}
-	if err != nil {
+	switch {
+	case err != nil && conn != nil && conn.headError() != nil:
+		// net/http may have another error for the part of the head that it has seen.
+		return nil, conn.headError()
+	case err != nil:
 		return nil, err
-	}
-	if conn != nil && conn.awaitsHead() {
+	case conn != nil && conn.awaitsHead():
 		// The head was received before the request was sent.
 		_ = response.Body.Close()
 		return nil, fmt.Errorf("%w: the answer belongs to no request", ErrMalformed)
+	default:
+		return response, nil
 	}
-	return response, nil
 }
 
 // CloseIdleConnections closes the connections that no call uses.
@@ -127,9 +126,9 @@
 	return c.dialed
 }
 
-// Read implements net.Conn. It returns nothing of a malformed head from the end of its first
-// malformed line on. What precedes is returned, since net/http would send the request
-// again if nothing of an answer arrived.
+// Read implements net.Conn. Of a malformed head, it returns what precedes the end of the first
+// malformed line, and then an error. If it returned nothing, net/http would take the connection
+// for an idle one that was closed, and might send the request again.
 func (c *checkedConn) Read(buffer []byte) (int, error) {
 	if err := c.headError(); err != nil {
 		return 0, err
--- a/internal/standin/httpserver/endless.go
+++ b/internal/standin/httpserver/endless.go
@@ -17,8 +17,8 @@
 	sent atomic.Int64
 }
 
-// MaxEndlessBytes bounds what an Endless sends on a connection.
-const MaxEndlessBytes = 256 << 20
+// maxEndlessBytes bounds what an Endless sends on a connection.
+const maxEndlessBytes = 256 << 20
 
 // ServeHTTP implements http.Handler.
 func (e *Endless) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
@@ -37,7 +37,7 @@
 	}
 	const blockBytes = 64 << 10
 	block := bytes.Repeat([]byte(e.Piece), blockBytes/len(e.Piece)+1)
-	for sent := 0; sent < MaxEndlessBytes; sent += len(block) {
+	for sent := 0; sent < maxEndlessBytes; sent += len(block) {
 		count, err := conn.Write(block)
 		e.sent.Add(int64(count))
 		if err != nil {
