Count what readers take of an answer without end, not what is sent

The readers had closed their connections after 16 MiB. The rest is the kernel's: it may hold 32 MiB of a connection at the receiver and 4 MiB at the sender (tcp_rmem, tcp_wmem of this machine), where the tests had assumed 16 MiB. Change: the tests count what is read from the connections, and allow 1 MiB beside what may be kept. That is stricter by 15 MiB and does not depend on the kernel. Frames of the peers' test carry 64 bytes, since four of eight bytes were framing.

--- a/internal/backend/upstreams/endless_test.go
+++ b/internal/backend/upstreams/endless_test.go
@@ -11,8 +11,8 @@
 	"mimosayard/internal/standin/httpserver"
 )
 
-// kernelBytes is more than the kernel's buffers hold of a connection over loopback.
-const kernelBytes = 16 << 20
+// overheadBytes is more than the head of an answer and what is read ahead take beside what is kept.
+const overheadBytes = 1 << 20
 
 // TestStreamsWithoutEndAreBounded guards against calls that keep all of a stream without events
 // in memory, or read it for as long as their caller waits.
@@ -26,9 +26,14 @@
 			endless := &httpserver.Endless{Head: head, Piece: piece}
 			server := httptest.NewServer(endless)
 			defer server.Close()
-			_, _, err := callChat(t, server.Listener.Addr().String())
+			taken := &httpserver.ReadCounter{}
+			client := &Client{Dial: taken.DialContext}
+			defer client.Close()
+			_, err := client.StreamChat(t.Context(), ChatCall{Address: server.Listener.Addr().String(), RequestID: "r"}, ChatCallbacks{
+				OnEvent: func(ChatEvent) error { return nil },
+			})
 			is.True(err != nil)
-			is.True(endless.Sent() <= maxEventBytes+kernelBytes)
+			is.True(taken.Read() <= maxEventBytes+overheadBytes)
 		})
 	}
 }
--- a/internal/edge/ingress/endless_test.go
+++ b/internal/edge/ingress/endless_test.go
@@ -12,8 +12,9 @@
 	"mimosayard/internal/standin/httpserver"
 )
 
-// kernelBytes is more than the kernel's buffers hold of a connection over loopback.
-const kernelBytes = 16 << 20
+// overheadBytes is more than the head of an answer, what is read ahead, and the framing of chunks
+// take beside what is kept.
+const overheadBytes = 1 << 20
 
 // TestAnswersWithoutEndAreBounded guards against an instance that keeps all of an answer without
 // end in its memory, and against callers that wait until their deadline for one.
@@ -46,15 +47,16 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			endless := &httpserver.Endless{Head: c.head, Piece: c.piece}
-			ti := newTestIngress(t, endless.ServeHTTP)
+			taken := &httpserver.ReadCounter{}
+			ti := newTestIngressWithDialer(t, taken.DialContext, endless.ServeHTTP)
 			start := time.Now()
 			response, body, err := ti.get(t, c.path)
 			if err == nil && response.StatusCode < http.StatusMultipleChoices {
 				t.Errorf("status %d with %d bytes", response.StatusCode, len(body))
 			}
 			// Each call of the request may have taken as much.
-			if sent := endless.Sent(); sent > ti.runs.Load()*(c.kept+kernelBytes) {
-				t.Errorf("%d bytes were taken in %d calls, %d may be kept", sent, ti.runs.Load(), c.kept)
+			if taken.Read() > ti.runs.Load()*(c.kept+overheadBytes) {
+				t.Errorf("%d bytes were taken in %d calls, %d may be kept", taken.Read(), ti.runs.Load(), c.kept)
 			}
 			if time.Since(start) > 20*time.Second {
 				t.Errorf("the caller waited for %s", time.Since(start))
--- a/internal/fleet/peers/broken_test.go
+++ b/internal/fleet/peers/broken_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -56,11 +57,8 @@
 // without end, which an instance keeps in its memory.
 func TestPeersWithoutEndAreBounded(t *testing.T) {
 	t.Parallel()
-	const (
-		// maxMessageBytes is DRPC's bound on a message.
-		maxMessageBytes = 4 << 20
-		kernelBytes     = 16 << 20
-	)
+	// maxTaken is twice DRPC's bound on a message, as its buffer grows by doubling.
+	const maxTaken = 2 * 4 << 20
 	served := newPeers(t, 1)[0]
 	dialServed := func() (conn net.Conn, err error) {
 		await(t, "the peer listens", func() bool {
@@ -75,8 +73,8 @@
 		// A frame of a message with a length of 2^35 - 1, and frames of a message that
 		// has no last one.
 		"a frame":  {"\x06\x01\x01\xff\xff\xff\xff\x7f", "x"},
-		"frames":   {"", "\x06\x01\x01\x04data"},
-		"messages": {"", "\x07\x01\x01\x04data"},
+		"frames":   {"", "\x06\x01\x01\x40" + strings.Repeat("x", 0x40)},
+		"messages": {"", "\x07\x01\x01\x40" + strings.Repeat("x", 0x40)},
 	} {
 		t.Run("a call to a peer receives "+name, func(t *testing.T) {
 			is := is.New(t)
@@ -93,12 +91,13 @@
 					endless.SendTo(conn)
 				}
 			})
-			c := &client{address: listener.Addr().String(), encoding: macEncoding{key: func() []byte { return []byte("key") }}, counters: &trafficCounters{}}
+			var counters trafficCounters
+			c := &client{address: listener.Addr().String(), encoding: macEncoding{key: func() []byte { return []byte("key") }}, counters: &counters}
 			start := time.Now()
 			is.True(c.call(t.Context(), rpcConfig, &emptyMessage{}, &configMessage{}) != nil)
 			c.close()
 			is.True(time.Since(start) < 2*callTimeout)
-			is.True(endless.Sent() <= maxMessageBytes+kernelBytes)
+			is.True(counters.receivedBytes.Load() <= maxTaken)
 		})
 		t.Run("a peer receives "+name, func(t *testing.T) {
 			is := is.New(t)
@@ -107,8 +106,9 @@
 			is.NoErr(err)
 			// The peer may stop reading and leave the connection open.
 			is.NoErr(conn.SetDeadline(time.Now().Add(callTimeout)))
+			before := served.node.counters.receivedBytes.Load()
 			endless.SendTo(conn)
-			is.True(endless.Sent() <= maxMessageBytes+kernelBytes)
+			is.True(served.node.counters.receivedBytes.Load()-before <= maxTaken)
 		})
 	}
 }
--- a/internal/net/http1/readers_test.go
+++ b/internal/net/http1/readers_test.go
@@ -8,11 +8,11 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"testing"
 	"time"
 
-	"mimosayard/internal/backend/connect"
 	"mimosayard/internal/backend/forward"
 	"mimosayard/internal/backend/raters"
 	"mimosayard/internal/backend/upstreams"
@@ -24,6 +24,14 @@
 	"mimosayard/platform"
 )
 
+// taken counts what all readers read.
+var taken httpserver.ReadCounter
+
+func TestMain(m *testing.M) {
+	http1.DefaultTransport.Dial = taken.DialContext
+	os.Exit(m.Run())
+}
+
 // A reader is one of the places where the program reads an answer of another process.
 type reader struct {
 	// fields and body are those of an answer that the reader accepts.
@@ -42,13 +50,13 @@
 func readers() map[string]reader {
 	all := map[string]reader{
 		"a load report": {"X-Load-Running: 1\r\nX-Load-Waiting-Tokens: 2\r\n", "", true, func(ctx context.Context, address string) error {
-			if _, ok := (&upstreams.Client{}).FetchLoad(ctx, address); !ok {
+			if _, ok := (&upstreams.Client{Dial: taken.DialContext}).FetchLoad(ctx, address); !ok {
 				return errors.New("no load report")
 			}
 			return nil
 		}},
 		"the answer to an order": {"", "", true, func(ctx context.Context, address string) error {
-			return (&upstreams.Client{}).SendOrder(ctx, address, upstreams.Order{Subject: "s"})
+			return (&upstreams.Client{Dial: taken.DialContext}).SendOrder(ctx, address, upstreams.Order{Subject: "s"})
 		}},
 		"ratings": {"", `{"ratings":[],"next":1}`, false, func(ctx context.Context, address string) error {
 			_, err := (&raters.Client{BaseURL: "http://" + address}).Fetch(ctx, "i")
@@ -78,7 +86,7 @@
 func addUpstreamReaders(all map[string]reader) {
 	all["an answer of the shared platform"] = reader{"X-Attempt-Id: r\r\n", "{}", false, func(ctx context.Context, address string) error {
 		request := forward.Request{Address: address, Method: http.MethodPost, Target: "/x", Host: "h", Header: http.Header{}, Body: []byte("body")}
-		response, err := forward.New(connect.Direct).Send(ctx, request)
+		response, err := forward.New(taken.DialContext).Send(ctx, request)
 		if err != nil {
 			return err
 		}
@@ -88,14 +96,14 @@
 	}}
 	for name, atMostOnce := range map[string]bool{"an answer of a plain service": true, "an answer to a call that may be repeated": false} {
 		all[name] = reader{"X-Request-Id: r\r\n", "{}", false, func(ctx context.Context, address string) error {
-			_, err := (&upstreams.Client{}).CallPlain(ctx, upstreams.PlainCall{
+			_, err := (&upstreams.Client{Dial: taken.DialContext}).CallPlain(ctx, upstreams.PlainCall{
 				Address: address, RequestID: "r", Method: http.MethodPost, Path: "/x", AtMostOnce: atMostOnce,
 			})
 			return err
 		}}
 	}
 	all["an answer of an engine"] = reader{"X-Request-Id: r\r\n", events, true, func(ctx context.Context, address string) error {
-		_, err := (&upstreams.Client{}).StreamChat(ctx, upstreams.ChatCall{Address: address, RequestID: "r"}, upstreams.ChatCallbacks{
+		_, err := (&upstreams.Client{Dial: taken.DialContext}).StreamChat(ctx, upstreams.ChatCall{Address: address, RequestID: "r"}, upstreams.ChatCallbacks{
 			OnEvent: func(upstreams.ChatEvent) error { return nil },
 		})
 		return err
@@ -238,8 +246,9 @@
 	}
 }
 
-// kernelBytes is more than the kernel's buffers hold of a connection over loopback.
-const kernelBytes = 16 << 20
+// overheadBytes is more than the head of an answer, what is read ahead, and the framing of chunks
+// take beside what is kept.
+const overheadBytes = 1 << 20
 
 // TestReadersBoundAnswersWithoutEnd guards against a process that keeps all of what another one
 // sends without end in its memory.
@@ -270,10 +279,10 @@
 					endless := &httpserver.Endless{Head: head, Piece: piece}
 					server := httptest.NewServer(endless)
 					defer server.Close()
-					start := time.Now()
+					start, before := time.Now(), taken.Read()
 					err := r.call(t.Context(), server.Listener.Addr().String())
-					if endless.Sent() > http1.MaxBodyBytes+kernelBytes {
-						t.Errorf("%d bytes were taken in %s", endless.Sent(), time.Since(start))
+					if read := taken.Read() - before; read > http1.MaxBodyBytes+overheadBytes {
+						t.Errorf("%d bytes were taken in %s", read, time.Since(start))
 					}
 					if err == nil && !r.stopsEarly {
 						t.Error("the answer is accepted")
--- a/internal/standin/httpserver/endless.go
+++ b/internal/standin/httpserver/endless.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -12,9 +13,6 @@
 // again until the caller closes the connection.
 type Endless struct {
 	Head, Piece string
-
-	// sent is the number of bytes sent.
-	sent atomic.Int64
 }
 
 // maxEndlessBytes bounds what an Endless sends on a connection.
@@ -38,16 +36,40 @@
 	const blockBytes = 64 << 10
 	block := bytes.Repeat([]byte(e.Piece), blockBytes/len(e.Piece)+1)
 	for sent := 0; sent < maxEndlessBytes; sent += len(block) {
-		count, err := conn.Write(block)
-		e.sent.Add(int64(count))
-		if err != nil {
+		if _, err := conn.Write(block); err != nil {
 			return
 		}
 	}
 }
 
-// Sent returns the number of bytes sent after the heads, which includes those that the caller's
-// kernel holds unread.
-func (e *Endless) Sent() int64 {
-	return e.sent.Load()
+// A ReadCounter counts the bytes that are read from the connections that it opens. The kernel's
+// buffers may hold tens of MiB beyond that.
+type ReadCounter struct {
+	read atomic.Int64
+}
+
+// DialContext connects to an address.
+func (c *ReadCounter) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
+	conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return &countedConn{Conn: conn, counter: c}, nil
+}
+
+// Read returns the number of bytes read.
+func (c *ReadCounter) Read() int64 {
+	return c.read.Load()
+}
+
+type countedConn struct {
+	net.Conn
+	counter *ReadCounter
+}
+
+// Read implements net.Conn.
+func (c *countedConn) Read(buffer []byte) (int, error) {
+	count, err := c.Conn.Read(buffer)
+	c.counter.read.Add(int64(count))
+	return count, err
 }
