--- a/internal/net/sockets/conn.go
+++ b/internal/net/sockets/conn.go
@@ -15,7 +15,7 @@
 type Conn struct {
 	net.Conn
 
-	// writing is held during a write.
+	// writing is held during a write, and guards broken.
 	writing sync.Mutex
 	// broken is true once a write has failed for another reason than its deadline.
 	broken bool
@@ -35,8 +35,8 @@
 	return count, err
 }
 
-// Read implements net.Conn. It returns io.EOF only if the other side has ended its direction of
-// the connection, and io.ErrUnexpectedEOF if the connection was reset.
+// Read implements net.Conn. It returns io.ErrUnexpectedEOF in place of io.EOF once a write has
+// failed. After io.EOF, nothing more can be written.
 func (c *Conn) Read(buffer []byte) (int, error) {
 	count, err := c.Conn.Read(buffer)
 	if errors.Is(err, io.EOF) && c.isBroken() {
@@ -45,8 +45,8 @@
 	return count, err
 }
 
-// isBroken reports whether a write has failed. It ends the write in progress, which either has
-// met the reset or waits for the other side to read on.
+// isBroken reports whether a write has failed, and lets later ones fail. It does not wait for the
+// other side: a write in progress has either met the reset or is ended by the deadline.
 func (c *Conn) isBroken() bool {
 	_ = c.SetWriteDeadline(past)
 	c.writing.Lock()
