Read bodies within one budget of the process

Found by reading the change again and shown with a real process of 96 MB: a store that answers all watches and lists without end at once takes 112 to 128 MB of an instance, since each answer alone may have 16 MiB and io.ReadAll copies it as it grows. Change: ReadBody reads with budget.Claim, as the front doors do, from a budget of a tenth of the heap's limit beside 256 KiB for each answer, and http.MaxBytesReader takes the place of a bound of its own. The bound is the memory of the process.

--- a/internal/evaluation/crowds/door_test.go
+++ b/internal/evaluation/crowds/door_test.go
@@ -68,6 +68,16 @@
 // newSharedDoor starts an instance on a shared platform with one upstream, whose
 // answers are large for the paths with "/large".
 func newSharedDoor(t *testing.T) *door {
+	t.Helper()
+	return newSharedDoorBehind(t, direct, direct)
+}
+
+// direct returns an address as it is.
+func direct(address string) string { return address }
+
+// newSharedDoorBehind is newSharedDoor with functions that return the addresses at which the
+// instance reaches the store and the upstream, given their own.
+func newSharedDoorBehind(t *testing.T, storeAt, upstreamAt func(address string) string) *door {
 	t.Helper()
 	subnet := nextSubnet()
 	store, upstream := subnet+".1:7000", subnet+".2:7400"
@@ -82,7 +92,7 @@
 		"services":[{"name":"s"}],"tenants":[{"name":"team","api_keys":["key"]}],
 		"limits":{"max_header_bytes":16384,"max_body_bytes":%d,"header_timeout_ms":3000,"idle_timeout_ms":15000}}}`, maxBodyBytes))
 	put(t, "http://"+store+"/objects/servers/i-1", fmt.Sprintf(
-		`{"metadata":{},"spec":{"service":"s","address":%q,"zone":"dc-1","version":"v1","slots":256,"state":"ready","born":7,"sequence":1}}`, upstream))
+		`{"metadata":{},"spec":{"service":"s","address":%q,"zone":"dc-1","version":"v1","slots":256,"state":"ready","born":7,"sequence":1}}`, upstreamAt(upstream)))
 	d := &door{
 		t: t, address: subnet + ".100:8080", head: "Host: h.example\r\nX-Attempt-Id: id\r\nX-Credential: key\r\n",
 		plain: "POST /safe/x", large: "POST /safe/large", stream: "POST /stream/large",
@@ -90,7 +100,7 @@
 	d.start(settings.Settings{
 		Instance: "shared-1", DataCenter: "dc-1",
 		CallersAddress: d.address, OperatorsAddress: subnet + ".100:8081", PeersAddress: subnet + ".100:8082",
-		Shared: &settings.SharedPlatform{StoreAddress: store, ReadyAddress: subnet + ".100:8083", MemoryMB: memoryMB},
+		Shared: &settings.SharedPlatform{StoreAddress: storeAt(store), ReadyAddress: subnet + ".100:8083", MemoryMB: memoryMB},
 	})
 	return d
 }
@@ -98,6 +108,13 @@
 // newOwnInterface starts an instance with the product's own interface, with one engine,
 // whose answers are large, and one plain service.
 func newOwnInterface(t *testing.T) *door {
+	t.Helper()
+	return newOwnInterfaceBehind(t, direct, direct, direct)
+}
+
+// newOwnInterfaceBehind is newOwnInterface with functions that return the addresses at which the
+// instance reaches the platform, the engine and the plain service, given their own.
+func newOwnInterfaceBehind(t *testing.T, platformAt, engineAt, deskAt func(address string) string) *door {
 	t.Helper()
 	subnet := nextSubnet()
 	platform, engine, desk := subnet+".1:7000", subnet+".2:7100", subnet+".3:7200"
@@ -118,7 +135,7 @@
 	d.start(settings.Settings{
 		Instance: "router-1", DataCenter: "dc-1",
 		CallersAddress: d.address, OperatorsAddress: subnet + ".100:8081", PeersAddress: subnet + ".100:8082",
-		PlatformURL: "http://" + platform, PeerKey: []byte("a key for the tests of the peers"),
+		PlatformURL: "http://" + platformAt(platform), PeerKey: []byte("a key for the tests of the peers"),
 		MaxBodyBytes: maxBodyBytes, SlowClientTimeout: 10000,
 	})
 	team := []string{tables.HashCredential("team")}
@@ -129,11 +146,11 @@
 	pools := writeJSON(t, tables.PoolsTable{Pools: []tables.Pool{
 		{
 			Name: "small", Service: "chat", Kind: tables.KindModel, Model: "small", Version: "v1", PromptCost: 1, AnswerCost: 1, Concurrency: 256,
-			Upstreams: []tables.Upstream{{Name: "small-a", Address: engine, DataCenter: "dc-1"}},
+			Upstreams: []tables.Upstream{{Name: "small-a", Address: engineAt(engine), DataCenter: "dc-1"}},
 		},
 		{
 			Name: "desk", Service: "desk", Kind: tables.KindPlain, CallCost: 1, Concurrency: 256,
-			Upstreams: []tables.Upstream{{Name: "desk-a", Address: desk, DataCenter: "dc-1"}},
+			Upstreams: []tables.Upstream{{Name: "desk-a", Address: deskAt(desk), DataCenter: "dc-1"}},
 		},
 	}})
 	apply := exec.Command(filepath.Join(binaryDirectory, "mimosayard"), "apply", "-platform", "http://"+platform, "-routes", routes, "-pools", pools)
--- a/internal/net/budget/limits.go
+++ b/internal/net/budget/limits.go
@@ -12,6 +12,9 @@
 	// hold. As much again is garbage between two collections, and the rest is for
 	// connections and the instance itself.
 	budgetShare = 0.35
+	// platformShare is the share of the Go heap's limit that the answers of the platform and
+	// of raters may hold while they are read, beside PlatformFloor each.
+	platformShare = 0.1
 	// connectionsShare is the share of the Go heap's limit for connections at rest, and
 	// connectionCost what each takes: two buffers of 4 kB, a stack, and the floors of
 	// a head and a body.
@@ -35,6 +38,9 @@
 	// otherwise grows to 4 MB for a connection. It passes 12 MB/s at a round trip
 	// of 10 ms.
 	maxSendBuffer = 128 << 10
+	// PlatformFloor is what each answer of the platform may hold outside of the budget, so that
+	// ordinary ones are read while one without end takes all of it.
+	PlatformFloor = 256 << 10
 	// AnswerFloor is what each answer may hold outside of the budget, so that small answers
 	// are delivered while large ones are dropped.
 	AnswerFloor = 8 << 10
@@ -57,6 +63,12 @@
 	return budget, maxConnections, sendBuffer
 }
 
+// PlatformBytes returns the budget for the answers of the platform that fits the memory limit
+// of the Go runtime, zero if there is no limit.
+func PlatformBytes() int64 {
+	return int64(platformShare * float64(heapLimit()))
+}
+
 // DefaultBytes returns the budget in bytes that fits the memory limit of the Go runtime,
 // zero if there is none.
 func DefaultBytes() int64 {
--- a/internal/net/http1/body.go
+++ b/internal/net/http1/body.go
@@ -5,26 +5,28 @@
 	"errors"
 	"io"
 	"net/http"
+	"sync"
 
 	"github.com/gravitational/trace"
+
+	"mimosayard/internal/net/budget"
 )
 
 // MaxBodyBytes bounds the body of an answer that is read into memory.
 const MaxBodyBytes = 16 << 20
 
-// ErrTooLarge is returned for an answer whose body is larger than its bound.
-var ErrTooLarge = errors.New("the body of the answer is too large")
+// bodies returns the budget of all bodies that are being read.
+var bodies = sync.OnceValue(func() *budget.Budget { return budget.New(budget.PlatformBytes()) })
 
-// ReadBody reads the body of an answer to its end, which must come within a number of bytes.
+// ReadBody reads the body of an answer to its end. The error is an http.MaxBytesError if it does
+// not come within a number of bytes, and budget.ErrShort if the bodies that are being read leave
+// no room for it.
 func ReadBody(response *http.Response, maxBytes int64) ([]byte, error) {
-	data, err := io.ReadAll(io.LimitReader(response.Body, maxBytes+1))
-	if err != nil {
-		return nil, trace.Wrap(err)
-	}
-	if int64(len(data)) > maxBytes {
-		return nil, trace.Wrap(ErrTooLarge)
-	}
-	return data, nil
+	var claim budget.Claim
+	claim.Init(bodies(), budget.PlatformFloor)
+	defer claim.Release()
+	data, err := claim.Read(http.MaxBytesReader(nil, response.Body, maxBytes), response.ContentLength)
+	return data, trace.Wrap(err)
 }
 
 // DecodeJSON reads the body of an answer to its end, within MaxBodyBytes, and decodes its JSON
