Use what the standard library and the project have for broken answers

No change of behaviour. http.MaxBytesReader takes the place of three comparisons after a limit, as in the front doors' requests; httpserver.TakeOver serves four stand-ins that hijacked connections by themselves; the own door's two claims for an answer are one method. isBroken is endWrites, which is what it does besides, skipped is sinceEvent, and the size of a head is counted without taking a byte back.

--- a/internal/backend/upstreams/chat.go
+++ b/internal/backend/upstreams/chat.go
@@ -230,7 +230,7 @@
 		if !ok {
 			continue
 		}
-		lines.skipped = 0
+		lines.sinceEvent = 0
 		data = bytes.TrimSpace(data)
 		if string(data) == doneMarker {
 			return usage, nil
--- a/internal/backend/upstreams/lines.go
+++ b/internal/backend/upstreams/lines.go
@@ -12,9 +12,9 @@
 	claim  func(n int64) error
 	// long holds a line that does not fit into the reader's buffer. Its capacity is claimed.
 	long []byte
-	// skipped is the size of the lines since it was last set to zero, with the line that is
-	// being read. It is at most maxEventBytes.
-	skipped int
+	// sinceEvent is the size of the lines since the last event, with the line that is being
+	// read, at most maxEventBytes. The caller of next sets it to zero after an event.
+	sinceEvent int
 }
 
 // next returns the next line, which is valid until the following call. The error is a
@@ -23,7 +23,7 @@
 	r.long = r.long[:0]
 	for {
 		part, err := r.reader.ReadSlice('\n')
-		if r.skipped += len(part); r.skipped > maxEventBytes {
+		if r.sinceEvent += len(part); r.sinceEvent > maxEventBytes {
 			return nil, streamError{errEventTooLarge}
 		}
 		if err == nil && len(r.long) == 0 {
--- a/internal/backend/upstreams/plain.go
+++ b/internal/backend/upstreams/plain.go
@@ -91,21 +91,21 @@
 	if readBody == nil {
 		readBody = func(body io.Reader, _ int64) ([]byte, error) { return io.ReadAll(body) }
 	}
-	body, err := readBody(io.LimitReader(response.Body, maxResponseBytes+1), response.ContentLength)
-	if errors.Is(err, budget.ErrShort) {
+	body, err := readBody(http.MaxBytesReader(nil, response.Body, maxResponseBytes), response.ContentLength)
+	switch {
+	case err == nil:
+		return PlainResponse{Status: response.StatusCode, Header: response.Header, Body: body}, nil
+	case errors.Is(err, budget.ErrShort):
 		return PlainResponse{}, faults.New(faults.AnswerDropped, "")
-	}
-	if err != nil {
+	case errors.As(err, new(*http.MaxBytesError)):
+		return PlainResponse{}, faults.New(faults.UpstreamFailed, fmt.Sprintf("response body exceeds %d bytes", maxResponseBytes))
+	default:
 		fault := c.classifyError(ctx, a, call.Address, err)
 		if fault.Kind == faults.UpstreamFailed {
 			fault.Kind = faults.AnswerIncomplete
 		}
 		return PlainResponse{}, fault
 	}
-	if len(body) > maxResponseBytes {
-		return PlainResponse{}, faults.New(faults.UpstreamFailed, fmt.Sprintf("response body exceeds %d bytes", maxResponseBytes))
-	}
-	return PlainResponse{Status: response.StatusCode, Header: response.Header, Body: body}, nil
 }
 
 // ErrFenced is returned when an engine has seen a higher fencing token for the
--- a/internal/cli/demo/traffic.go
+++ b/internal/cli/demo/traffic.go
@@ -249,12 +249,12 @@
 
 // readAnswer returns a body and the time from start to its first byte. The body
 // is nil if it cannot be read to its end, or is larger than http1.MaxBodyBytes.
-func readAnswer(body io.Reader, start time.Time) ([]byte, time.Duration) {
-	reader := bufio.NewReader(io.LimitReader(body, http1.MaxBodyBytes+1))
+func readAnswer(body io.ReadCloser, start time.Time) ([]byte, time.Duration) {
+	reader := bufio.NewReader(http.MaxBytesReader(nil, body, http1.MaxBodyBytes))
 	_, _ = reader.Peek(1)
 	firstByte := time.Since(start)
 	text, err := io.ReadAll(reader)
-	if err != nil || len(text) > http1.MaxBodyBytes {
+	if err != nil {
 		return nil, firstByte
 	}
 	return text, firstByte
--- a/internal/edge/callers/chat.go
+++ b/internal/edge/callers/chat.go
@@ -262,12 +262,7 @@
 			x.server.Router.RecordLoad(step.Pool.Name, step.Choice.Upstream.Config.Name, report)
 		},
 		OnLimit: x.limitRecorder(step),
-		Claim: func(n int64) error {
-			if err := x.answerClaim.Grow(n); err != nil {
-				return faults.New(faults.AnswerDropped, "")
-			}
-			return nil
-		},
+		Claim:   x.claimAnswer,
 		OnEvent: c.handleEvent,
 	})
 	if err == nil && !c.accepted {
@@ -307,8 +302,8 @@
 	// The event is in the reader's buffer and in decoded form while it is handled, and
 	// its content is kept for the answer.
 	transient := eventCopies * int64(len(event.Data))
-	if err := c.exchange.answerClaim.Grow(transient + 2*int64(len(event.Content))); err != nil {
-		return faults.New(faults.AnswerDropped, "")
+	if err := c.exchange.claimAnswer(transient + 2*int64(len(event.Content))); err != nil {
+		return err
 	}
 	if c.accepted {
 		defer func() { _ = c.exchange.answerClaim.Grow(-transient) }()
@@ -407,6 +402,15 @@
 	return body, nil
 }
 
+// claimAnswer extends what the answer holds in memory, also by less than none. It returns an
+// AnswerDropped fault if there is no room.
+func (x *exchange) claimAnswer(n int64) error {
+	if x.answerClaim.Grow(n) != nil {
+		return faults.New(faults.AnswerDropped, "")
+	}
+	return nil
+}
+
 // findModelRoute returns the route for the model field of a request. The field
 // names a service, or one of the models that the team may use, which is then
 // returned too. An empty class matches every class. The route is nil if there
--- a/internal/edge/ingress/calls.go
+++ b/internal/edge/ingress/calls.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -41,9 +40,6 @@
 	errStreamIdle      = errors.New("upstream stream exceeded its idle timeout")
 )
 
-// errResponseTooLarge is returned for a response larger than maxResponseBytes.
-var errResponseTooLarge = errors.New("response body exceeds the size limit")
-
 // maxResponseBytes bounds a response that is buffered in memory.
 const maxResponseBytes = 16 << 20
 
@@ -273,7 +269,7 @@
 		return dispatch.TimedOut, false, faults.New(faults.UpstreamTimeout, context.Cause(ctx).Error())
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return dispatch.Abandoned, true, faults.New(faults.UpstreamTimeout, "the time is over")
-	case errors.Is(err, http1.ErrMalformed), errors.Is(err, errResponseTooLarge), errors.Is(err, errEventTooLarge):
+	case errors.Is(err, http1.ErrMalformed), errors.As(err, new(*http.MaxBytesError)), errors.Is(err, errEventTooLarge):
 		return dispatch.Mismatched, false, faults.New(faults.UpstreamFailed, err.Error())
 	case errors.Is(err, links.ErrPeerLost):
 		return dispatch.LinkLost, false, faults.New(faults.AnswerIncomplete, links.ErrPeerLost.Error())
@@ -344,7 +340,7 @@
 	_ = x.controller.SetWriteDeadline(time.Now().Add(callerIOTimeout))
 }
 
-// bufferResponse reads a response completely. It returns errResponseTooLarge if
+// bufferResponse reads a response completely. It returns an http.MaxBytesError if
 // the body exceeds maxResponseBytes, and budget.ErrShort if there is no room for it.
 func (x *exchange) bufferResponse(response *forward.Response) (*bufferedResponse, error) {
 	held := x.answerClaim.Held()
@@ -352,10 +348,7 @@
 	if err != nil || length < 0 || x.request.Method == http.MethodHead {
 		length = -1
 	}
-	body, err := x.answerClaim.Read(io.LimitReader(response.Body, maxResponseBytes+1), length)
-	if err == nil && len(body) > maxResponseBytes {
-		err = errResponseTooLarge
-	}
+	body, err := x.answerClaim.Read(http.MaxBytesReader(nil, response.Body, maxResponseBytes), length)
 	if err != nil {
 		_ = x.answerClaim.Grow(held - x.answerClaim.Held())
 		return nil, err
--- a/internal/edge/ingress/resets_test.go
+++ b/internal/edge/ingress/resets_test.go
@@ -61,16 +61,11 @@
 			is := is.New(t)
 			ended := make(chan struct{})
 			defer close(ended)
-			ti := newTestIngress(t, func(w http.ResponseWriter, _ *http.Request) {
-				conn, _, err := http.NewResponseController(w).Hijack()
-				if err != nil {
-					return
-				}
-				defer conn.Close()
+			ti := newTestIngress(t, httpserver.TakeOver(func(conn net.Conn) {
 				_, _ = io.WriteString(conn, c.sent)
 				_ = conn.(*net.TCPConn).CloseWrite()
 				<-ended
-			})
+			}))
 			ti.server.Dispatcher.SetCatalog(newTestCatalog(2, bodyBytes))
 			start := time.Now()
 			response, body, err := ti.do(t, ti.request(t, http.MethodPost, c.path, strings.Repeat("x", bodyBytes)))
--- a/internal/fleet/peers/broken_test.go
+++ b/internal/fleet/peers/broken_test.go
@@ -58,7 +58,7 @@
 func TestPeersWithoutEndAreBounded(t *testing.T) {
 	t.Parallel()
 	// maxTaken is twice DRPC's bound on a message, as its buffer grows by doubling.
-	const maxTaken = 2 * 4 << 20
+	const maxTaken = 8 << 20
 	served := newPeers(t, 1)[0]
 	dialServed := func() (conn net.Conn, err error) {
 		await(t, "the peer listens", func() bool {
@@ -89,6 +89,7 @@
 						return nil
 					}
 					endless.SendTo(conn)
+					_ = conn.Close()
 				}
 			})
 			var counters trafficCounters
@@ -104,6 +105,7 @@
 			endless := &httpserver.Endless{Head: sent.head, Piece: sent.piece}
 			conn, err := dialServed()
 			is.NoErr(err)
+			defer conn.Close()
 			// The peer may stop reading and leave the connection open.
 			is.NoErr(conn.SetDeadline(time.Now().Add(callTimeout)))
 			before := served.node.counters.receivedBytes.Load()
--- a/internal/net/http1/head.go
+++ b/internal/net/http1/head.go
@@ -11,12 +11,12 @@
 // headChecker checks the lines of the head of an answer, and of the interim answers before it,
 // as they are received. Its zero value expects the status line.
 type headChecker struct {
-	// line is the part of the current line that was received, and size that of all lines. It
-	// is at most MaxHeadBytes.
+	// line is the part of the current line that was received.
 	line []byte
+	// size is the number of bytes received of all heads, at most MaxHeadBytes.
 	size int
-	// inFields is true after the status line, and interim if that is one of an interim
-	// answer.
+	// inFields is true between the status line and the end of a head, and interim in the
+	// head of an interim answer.
 	inFields, interim bool
 	// http10 is true after the status line of an answer in HTTP/1.0.
 	http10 bool
@@ -29,13 +29,15 @@
 func (h *headChecker) check(data []byte) (passed int, err error) {
 	for passed < len(data) && !h.complete {
 		part, _, whole := bytes.Cut(data[passed:], []byte("\n"))
-		if h.size += len(part) + 1; h.size > MaxHeadBytes {
+		if h.size += len(part); whole {
+			h.size++
+		}
+		if h.size > MaxHeadBytes {
 			return passed, fmt.Errorf("%w: it exceeds %d bytes", ErrMalformed, MaxHeadBytes)
 		}
 		h.line = append(h.line, part...)
 		passed += len(part)
 		if !whole {
-			h.size-- // The line feed has not arrived.
 			break
 		}
 		if err := h.checkLine(bytes.TrimSuffix(h.line, []byte("\r"))); err != nil {
--- a/internal/net/http1/transport.go
+++ b/internal/net/http1/transport.go
@@ -104,7 +104,7 @@
 	t.base.DisableCompression = t.DisableCompression
 	t.base.MaxIdleConnsPerHost = t.MaxIdleConnsPerHost
 	t.base.IdleConnTimeout = t.IdleConnTimeout
-	// The checks have a lower bound, except for answers over TLS.
+	// It bounds the heads of answers over TLS. Others reach the bound of headChecker first.
 	t.base.MaxResponseHeaderBytes = 2 * MaxHeadBytes
 }
 
--- a/internal/net/sockets/conn.go
+++ b/internal/net/sockets/conn.go
@@ -39,15 +39,15 @@
 // failed. After io.EOF, nothing more can be written.
 func (c *Conn) Read(buffer []byte) (int, error) {
 	count, err := c.Conn.Read(buffer)
-	if errors.Is(err, io.EOF) && c.isBroken() {
+	if errors.Is(err, io.EOF) && c.endWrites() {
 		err = io.ErrUnexpectedEOF
 	}
 	return count, err
 }
 
-// isBroken reports whether a write has failed, and lets later ones fail. It does not wait for the
-// other side: a write in progress has either met the reset or is ended by the deadline.
-func (c *Conn) isBroken() bool {
+// endWrites lets all further writes fail, and reports whether one has failed before. It does not
+// wait for the other side: a write in progress has either met the reset or is ended by the deadline.
+func (c *Conn) endWrites() (failed bool) {
 	_ = c.SetWriteDeadline(past)
 	c.writing.Lock()
 	defer c.writing.Unlock()
--- a/internal/standin/httpserver/endless.go
+++ b/internal/standin/httpserver/endless.go
@@ -19,17 +19,12 @@
 const maxEndlessBytes = 256 << 20
 
 // ServeHTTP implements http.Handler.
-func (e *Endless) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
-	conn, _, err := http.NewResponseController(w).Hijack()
-	if err != nil {
-		return
-	}
-	e.SendTo(conn)
+func (e *Endless) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	TakeOver(e.SendTo)(w, r)
 }
 
-// SendTo sends on a connection and closes it.
+// SendTo sends on a connection.
 func (e *Endless) SendTo(conn net.Conn) {
-	defer func() { _ = conn.Close() }()
 	if _, err := io.WriteString(conn, e.Head); err != nil {
 		return
 	}
--- a/internal/standin/httpserver/httpserver.go
+++ b/internal/standin/httpserver/httpserver.go
@@ -19,13 +19,19 @@
 // CloseAfter returns a handler that writes some bytes in place of a response and closes the
 // connection.
 func CloseAfter(sent string) http.HandlerFunc {
+	return TakeOver(func(conn net.Conn) { _, _ = io.WriteString(conn, sent) })
+}
+
+// TakeOver returns a handler that lets a function use the connection of a request in place of a
+// response, and then closes it.
+func TakeOver(use func(conn net.Conn)) http.HandlerFunc {
 	return func(w http.ResponseWriter, _ *http.Request) {
 		conn, _, err := http.NewResponseController(w).Hijack()
 		if err != nil {
 			return
 		}
-		_, _ = io.WriteString(conn, sent)
-		_ = conn.Close()
+		defer func() { _ = conn.Close() }()
+		use(conn)
 	}
 }
 
--- a/internal/standin/httpserver/reset.go
+++ b/internal/standin/httpserver/reset.go
@@ -11,17 +11,12 @@
 // ResetAfter returns a handler that writes some bytes in place of a response and resets the
 // connection, without reading the body of the request.
 func ResetAfter(sent string) http.HandlerFunc {
-	return func(w http.ResponseWriter, _ *http.Request) {
-		conn, _, err := http.NewResponseController(w).Hijack()
-		if err != nil {
-			return
-		}
+	return TakeOver(func(conn net.Conn) {
 		_, _ = io.WriteString(conn, sent)
 		if tcp, ok := conn.(*net.TCPConn); ok {
 			_ = tcp.SetLinger(0)
 		}
-		_ = conn.Close()
-	}
+	})
 }
 
 // A WriteFirstConn is the client's end of a connection that is reset while the request is
