--- a/internal/evaluation/capacity/datapath.go
+++ b/internal/evaluation/capacity/datapath.go
@@ -18,6 +18,7 @@
 	"mimosayard/internal/core/tables"
 	"mimosayard/internal/instance/service"
 	"mimosayard/internal/instance/settings"
+	"mimosayard/internal/net/http1"
 	"mimosayard/internal/platform/objects"
 	"mimosayard/internal/standin/httpserver"
 	"mimosayard/internal/standin/platform"
@@ -74,7 +75,7 @@
 	b := &bench{
 		ctx:    ctx,
 		group:  group,
-		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: measuredStreams}},
+		client: &http.Client{Transport: &http1.Transport{MaxIdleConnsPerHost: measuredStreams}},
 	}
 	err := b.start()
 	if err == nil {
