Refuse failures that the command status prints as a status

Seen by operators: an answer with a failure status whose body is JSON was printed as the status of the instance, and the command succeeded. Cause: the command quarantine compares the status of the answer, its twin did not. Change: it does; both use one client.

--- a/internal/cli/commands/quarantinecmd.go
+++ b/internal/cli/commands/quarantinecmd.go
@@ -41,7 +41,7 @@
 	if err != nil {
 		return usageError("-instance %q is not a URL", *instance)
 	}
-	response, err := (&http.Client{Timeout: statusTimeout, Transport: http1.DefaultTransport}).Do(request)
+	response, err := instanceClient.Do(request)
 	if err != nil {
 		return trace.ConnectionProblem(err, "the instance does not answer")
 	}
--- a/internal/cli/commands/statuscmd.go
+++ b/internal/cli/commands/statuscmd.go
@@ -20,8 +20,8 @@
 	}
 }
 
-// statusTimeout is the timeout for the request to the instance.
-const statusTimeout = 5 * time.Second
+// instanceClient makes the requests to an instance.
+var instanceClient = &http.Client{Timeout: 5 * time.Second, Transport: http1.DefaultTransport}
 
 func runStatusCmd(i *invocation) error {
 	instance := i.flags.String("instance", "", "operators' base `URL` of the instance")
@@ -38,12 +38,14 @@
 	if err != nil {
 		return usageError("-instance %q is not a URL", *instance)
 	}
-	client := &http.Client{Timeout: statusTimeout, Transport: http1.DefaultTransport}
-	response, err := client.Do(request)
+	response, err := instanceClient.Do(request)
 	if err != nil {
 		return trace.ConnectionProblem(err, "the instance does not answer")
 	}
 	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return trace.BadParameter("%s has no status", *instance)
+	}
 	var status service.Status
 	if err := http1.DecodeJSON(response, &status); err != nil {
 		return trace.BadParameter("the answer of %s is not a status", *instance)
--- a/internal/net/http1/readers_test.go
+++ b/internal/net/http1/readers_test.go
@@ -217,6 +217,19 @@
 	}
 }
 
+// TestCommandsRefuseFailures guards against a failure of an instance that is printed as what the
+// operator asked for.
+func TestCommandsRefuseFailures(t *testing.T) {
+	for _, name := range []string{"the command status", "the command quarantine"} {
+		r := readers()[name]
+		for status := 300; status < 600; status++ {
+			if r.result(t, r.answer(fmt.Sprintf("HTTP/1.1 %d x", status), "")) == nil {
+				t.Errorf("%s accepts status %d", name, status)
+			}
+		}
+	}
+}
+
 // TestReadersRefuseInvalidFieldNames guards against an answer of which a line of the head was
 // not understood, or passed on.
 func TestReadersRefuseInvalidFieldNames(t *testing.T) {
