--- a/internal/net/http1/head.go
+++ b/internal/net/http1/head.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"fmt"
 	"net/http"
+	"regexp"
+	"strconv"
 
 	"golang.org/x/net/http/httpguts"
 )
@@ -82,21 +84,17 @@
 	return nil
 }
 
+// statusLine matches a status line in any version 1 of HTTP, with or without a reason.
+var statusLine = regexp.MustCompile(`^HTTP/1\.[0-9] ([0-9]{3})(?: |$)`)
+
 // parseStatus returns the status code of a status line (RFC 9112, section 4). Codes outside of
 // 100 to 599 are invalid, and 101 answers no request of this program.
 func parseStatus(line []byte) (int, error) {
-	const codeStart, codeEnd = len("HTTP/1.1 "), len("HTTP/1.1 200")
-	if len(line) < codeEnd || !bytes.HasPrefix(line, []byte("HTTP/1.")) || line[codeStart-1] != ' ' ||
-		len(line) > codeEnd && line[codeEnd] != ' ' {
+	parts := statusLine.FindSubmatch(line)
+	if parts == nil {
 		return 0, fmt.Errorf("%w: invalid status line", ErrMalformed)
 	}
-	status := 0
-	for _, digit := range line[codeStart:codeEnd] {
-		if digit < '0' || digit > '9' {
-			return 0, fmt.Errorf("%w: invalid status line", ErrMalformed)
-		}
-		status = 10*status + int(digit-'0')
-	}
+	status, _ := strconv.Atoi(string(parts[1]))
 	if status < http.StatusContinue || status > 599 || status == http.StatusSwitchingProtocols {
 		return 0, fmt.Errorf("%w: invalid status %d", ErrMalformed, status)
 	}
