--- a/review/third/slowcallers/main.go
+++ b/review/third/slowcallers/main.go
@@ -1,4 +1,4 @@
-// Command slowcallers plays callers that read slowly for case 11 of the review. It writes the
+// Command slowcallers plays callers that read slowly for case 12 of the review. It writes the
 // configuration and the servers to the store, sends streams over kept channels to two instances,
 // and tells whether each channel ended with a complete answer. Exit code 1 means that the rule
 // was broken, 0 that it held, and 2 that the case could not run.
--- a/review/third/versions/main.go
+++ b/review/third/versions/main.go
@@ -1,4 +1,4 @@
-// Command versions plays the servers, the operator and the callers of case 13 of the review. A
+// Command versions plays the servers, the operator and the callers of case 14 of the review. A
 // bad version is rolled out and rolled back, and the operator orders the next one at once, while
 // the servers of the bad one still run. It tells whether the rule EXPOSURE held. Exit code 1 means
 // that the rule was broken, 0 that it held, and 2 that the case could not run.
