--- a/review/third/versions/main.go
+++ b/review/third/versions/main.go
@@ -28,14 +28,14 @@
 	serversEach  = 3
 	slots        = 6
 	workTime     = 15 * time.Millisecond
-	failingShare = 0.34
+	failingShare = 0.24
 	// callInterval is the time between two requests of all callers together.
 	callInterval = time.Second / 120
 	// firstOrderAt and length are counted from the start of traffic.
 	firstOrderAt, length = 3 * time.Second, 24 * time.Second
 	// timeBudget is the duration_s of each order. The servers of a version that was rolled back
 	// begin to drain after drainAfter, and end after drainTime more.
-	timeBudget            = 8 * time.Second
+	timeBudget            = 12 * time.Second
 	drainAfter, drainTime = 6 * time.Second, 3 * time.Second
 	setUpTime             = 15 * time.Second
 	// The bounds of the rule.
