Review case 11: requests run without a key once the last tenant is gone

Cause: no key is asked for where the configuration has no teams, also if the list has just become empty and the route is not public. No change of the product.

--- a/review/third/paths/main.go
+++ b/review/third/keys/main.go
@@ -1,6 +1,7 @@
-// Command paths plays the servers and the callers of case 11 of the review. Callers send requests
-// whose paths begin with two slashes, and the servers record what they run. Exit code 1 means that
-// a rule was broken, 0 that it held, and 2 that the case could not run.
+// Command keys plays the servers, the operator and the callers of case 11 of the review. The operator
+// takes the only tenant out of the configuration, and callers go on with its key, with keys that
+// never were in a configuration, and with none. Exit code 1 means that the rule was broken, 0 that
+// it held, and 2 that the case could not run.
 package main
 
 import (
@@ -23,18 +24,16 @@
 	instances = 2
 	servers   = 2
 	setUpTime = 15 * time.Second
+	// settleTime is longer than config_ms, 2 s, after which a version is in force.
+	settleTime = 4 * time.Second
+	teamKey    = "raft-key"
+	unknownKey = "no-such-key"
+	team       = `{"name":"team","api_keys":["raft-key"]}`
 )
 
-// A sent is a request as its caller sent it.
-type sent struct {
-	id, method, target, body string
-	// got is the status of the answer, zero for none.
-	got int
-}
-
 // A run is a request as a server ran it.
 type run struct {
-	server, id, method, target, path, query, host, body, tenant string
+	server, id, tenant string
 }
 
 // A world is what the stand-ins have seen.
@@ -51,7 +50,7 @@
 
 func main() {
 	network := flag.String("net", "", "first three bytes of the loopback `ADDRESS`es")
-	trouble := flag.Bool("trouble", true, "send paths that begin with two slashes")
+	trouble := flag.Bool("trouble", true, "take the tenant out of the configuration")
 	out := flag.String("record", "record.txt", "`FILE` for what was sent, run and answered")
 	flag.Parse()
 	file, err := os.Create(*out)
@@ -67,71 +66,86 @@
 		w.printf("could not run: %v", err)
 		code = 2
 	case broken:
-		w.printf("UNASKED is broken")
+		w.printf("ROUTE is broken")
 		code = 1
 	default:
-		w.printf("UNASKED held")
+		w.printf("ROUTE held")
 	}
 	_ = file.Close()
 	os.Exit(code)
 }
 
-// play sends the requests and compares them with what the servers have run.
+// play changes the configuration and reports whether requests ran whose key no configuration held.
 func (w *world) play(network string, trouble bool) (bool, error) {
 	if err := w.setUp(network); err != nil {
 		return false, err
 	}
-	lead := "/"
+	if err := w.sendAll(network, "before"); err != nil {
+		return false, err
+	}
+	tenants := team
 	if trouble {
-		lead = "//"
-	}
-	requests := []sent{
-		{id: "a-1", method: http.MethodPost, target: lead + "notes/7?copy=2", body: "a note"},
-		{id: "a-2", method: http.MethodGet, target: lead + "notes/7"},
-		{id: "a-3", method: http.MethodPost, target: lead + "x/pay/7", body: "a deposit, without a key"},
-	}
-	for n := range requests {
-		s := &requests[n]
-		address := fmt.Sprintf("%s.%d:8080", network, 100+n%instances)
-		w.printf("caller: %s sends %s %s", s.id, s.method, s.target)
-		status, err := send(address, s)
-		if err != nil {
-			return false, err
+		tenants = ""
+	}
+	w.printf("operator: version 6 has the tenants [%s]", tenants)
+	if err := w.configure(network, 6, tenants); err != nil {
+		return false, err
+	}
+	w.printf("operator: version 6 is acknowledged")
+	time.Sleep(settleTime)
+	if err := w.sendAll(network, "after"); err != nil {
+		return false, err
+	}
+	return w.judge(trouble), nil
+}
+
+// sendAll sends a request with each kind of key to each instance.
+func (w *world) sendAll(network, phase string) error {
+	for n := range instances {
+		for _, key := range []string{teamKey, unknownKey, ""} {
+			id := fmt.Sprintf("%s-%d-%s", phase, n, key)
+			status, err := send(fmt.Sprintf("%s.%d:8080", network, 100+n), id, key)
+			if err != nil {
+				return err
+			}
+			w.printf("caller: %s with the key %q is answered %d", id, key, status)
 		}
-		s.got = status
-		w.printf("caller: %s is answered %d", s.id, status)
 	}
-	return w.judge(requests), nil
+	return nil
 }
 
 // judge applies the rule to what the servers have run.
-func (w *world) judge(requests []sent) bool {
+func (w *world) judge(trouble bool) bool {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	broken := false
+	unknown, dropped := 0, 0
 	for _, r := range w.runs {
-		w.printf("server: %s ran %s: %s %s, that is path %q and query %q at host %q, tenant %q", r.server, r.id, r.method, r.target, r.path, r.query, r.host, r.tenant)
-		for _, s := range requests {
-			path, query, _ := strings.Cut(s.target, "?")
-			if s.id == r.id && (r.method != s.method || r.path != path || r.query != query || r.body != s.body) {
-				w.printf("the caller of %s had sent %s %s", s.id, s.method, s.target)
-				broken = true
-			}
+		w.printf("server: %s ran %s, tenant %q", r.server, r.id, r.tenant)
+		switch {
+		case !strings.HasSuffix(r.id, teamKey):
+			unknown++
+		case trouble && strings.HasPrefix(r.id, "after"):
+			dropped++
 		}
 	}
-	return broken
+	w.printf("%d requests ran whose key no configuration ever held, %d with a key that was dropped %s before", unknown, dropped, settleTime)
+	return unknown > 0
 }
 
-// send sends a request without a key over a channel of its own, and returns the status.
-func send(address string, s *sent) (int, error) {
+// send sends a request over a channel of its own, and returns the status.
+func send(address, id, key string) (int, error) {
 	conn, err := (&net.Dialer{Timeout: time.Second}).DialContext(context.Background(), "tcp", address)
 	if err != nil {
 		return 0, err
 	}
 	defer func() { _ = conn.Close() }()
 	_ = conn.SetDeadline(time.Now().Add(5 * time.Second))
-	_, err = fmt.Fprintf(conn, "%s %s HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: %s\r\nX-Deadline-Ms: 1500\r\nContent-Length: %d\r\n\r\n%s",
-		s.method, s.target, host, s.id, len(s.body), s.body)
+	credential := ""
+	if key != "" {
+		credential = "X-Credential: " + key + "\r\n"
+	}
+	_, err = fmt.Fprintf(conn, "POST /pay/7 HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: %s\r\nX-Deadline-Ms: 1500\r\n%sContent-Length: 9\r\n\r\na deposit",
+		host, id, credential)
 	if err != nil {
 		return 0, err
 	}
@@ -143,18 +157,19 @@
 	return response.StatusCode, errors.Join(err, response.Body.Close())
 }
 
-// setUp starts the servers, writes the configuration and waits for the instances. All paths of the
-// host are public, but for those below /pay/.
+// configure writes a version of the configuration with a route that is not public.
+func (w *world) configure(network string, version int, tenants string) error {
+	config := fmt.Sprintf(`{"version":%d,"routes":[{"name":"r-pay","hostname":%q,"path_prefix":"/pay/","kind":"unsafe","timeout_ms":1500,`+
+		`"target_latency_ms":100,"service":"s","max_attempts":1,"public":false}],"services":[{"name":"s","health_path":"/healthz","max_connections":110}],`+
+		`"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000},"tenants":[%s]}`,
+		version, host, tenants)
+	return call(http.MethodPut, "http://"+network+".1:7000/objects/config/main", `{"metadata":{},"spec":`+config+`}`)
+}
+
+// setUp starts the servers, writes the first configuration and waits for the instances.
 func (w *world) setUp(network string) error {
 	store := "http://" + network + ".1:7000/objects/"
-	route := func(name, prefix, public string) string {
-		return fmt.Sprintf(`{"name":%q,"hostname":%q,"path_prefix":%q,"kind":"unsafe","timeout_ms":1500,"target_latency_ms":100,`+
-			`"service":"s","max_attempts":1,"public":%s}`, name, host, prefix, public)
-	}
-	config := fmt.Sprintf(`{"version":3,"routes":[%s,%s],"services":[{"name":"s","health_path":"/healthz","max_connections":110}],`+
-		`"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000},`+
-		`"tenants":[{"name":"team","api_keys":["raft-key"]}]}`, route("r-all", "/", "true"), route("r-pay", "/pay/", "false"))
-	if err := await(func() error { return call(http.MethodPut, store+"config/main", `{"metadata":{},"spec":`+config+`}`) }); err != nil {
+	if err := await(func() error { return w.configure(network, 3, team) }); err != nil {
 		return err
 	}
 	for n := range servers {
@@ -189,15 +204,11 @@
 			writer.WriteHeader(http.StatusMisdirectedRequest)
 			return
 		}
-		body, err := io.ReadAll(request.Body)
-		if err != nil {
+		if _, err := io.Copy(io.Discard, request.Body); err != nil {
 			return
 		}
 		w.mutex.Lock()
-		w.runs = append(w.runs, run{
-			server: id, id: attempt, method: request.Method, target: request.RequestURI, path: request.URL.EscapedPath(),
-			query: request.URL.RawQuery, host: request.Host, body: string(body), tenant: request.Header.Get("X-Tenant"),
-		})
+		w.runs = append(w.runs, run{server: id, id: attempt, tenant: request.Header.Get("X-Tenant")})
 		w.mutex.Unlock()
 		writer.Header().Set("X-Server-Stamp", id)
 		_, _ = io.WriteString(writer, "done by "+id)
