--- a/review/third/versions/main.go
+++ b/review/third/same/main.go
@@ -1,46 +1,41 @@
-// Command versions plays the servers, the operator and the callers of case 14 of the review. A
-// bad version is rolled out and rolled back, and the operator orders the next one at once, while
-// the servers of the bad one still run. It tells whether the rule EXPOSURE held. Exit code 1 means
-// that the rule was broken, 0 that it held, and 2 that the case could not run.
+// Command same plays the servers, the operator, the platform and the callers of case 14 of the review. The
+// operator orders a rollout to the version that runs, and right after the ack all instances are killed
+// and start again. Exit code 1 means that the rule RECOVER was broken, 0 that it held, and 2 that
+// the case could not run.
 package main
 
 import (
 	"context"
-	"encoding/json"
-	"errors"
 	"flag"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
 const (
-	host         = "callers.example"
-	key          = "raft-key"
-	instances    = 3
-	serversEach  = 3
-	slots        = 6
-	workTime     = 15 * time.Millisecond
-	failingShare = 0.24
+	host        = "callers.example"
+	key         = "raft-key"
+	instances   = 3
+	serversEach = 3
+	slots       = 6
+	workTime    = 15 * time.Millisecond
 	// callInterval is the time between two requests of all callers together.
-	callInterval = time.Second / 120
-	// firstOrderAt and length are counted from the start of traffic.
-	firstOrderAt, length = 3 * time.Second, 24 * time.Second
-	// timeBudget is the duration_s of each order. The servers of a version that was rolled back
-	// begin to drain after drainAfter, and end after drainTime more.
-	timeBudget            = 12 * time.Second
-	drainAfter, drainTime = 6 * time.Second, 3 * time.Second
-	setUpTime             = 15 * time.Second
-	// The bounds of the rule.
-	exposureShare, exposureSlack = 0.15, 30
-	rollbackTime, badAnswers     = 5 * time.Second, 50
+	callInterval = 25 * time.Millisecond
+	// orderAt and length are counted from the start of traffic.
+	orderAt, length = 4 * time.Second, 30 * time.Second
+	// timeBudget is the duration_s of the order, and downTime how long the instances are down.
+	timeBudget, downTime = 60 * time.Second, 500 * time.Millisecond
+	// recoverTime is the bound of the rule, and servedShare the share that counts as recovered.
+	recoverTime, servedShare = 12 * time.Second, 0.25
+	setUpTime                = 15 * time.Second
 )
 
 // A world is what the stand-ins have seen.
@@ -50,14 +45,14 @@
 
 	mutex sync.Mutex
 	out   io.Writer
-	// arrivals holds the time of each request that reached a server, by version.
-	arrivals map[string][]time.Time
-	// fiftieth is the time of the 50th bad answer of v2, and late the number of requests that
-	// were sent to it more than rollbackTime after that.
-	bad      int
-	fiftieth time.Time
-	late     int
-	answers  map[int]int
+	// calls are the requests of the callers.
+	calls []sent
+}
+
+// A sent is a request of a caller, and the status of its answer, zero for none.
+type sent struct {
+	at     time.Time
+	status int
 }
 
 func (w *world) printf(format string, values ...any) {
@@ -73,7 +68,8 @@
 
 func main() {
 	network := flag.String("net", "", "first three bytes of the loopback `ADDRESS`es")
-	trouble := flag.Bool("trouble", true, "order the next version as soon as the bad one is rolled back")
+	trouble := flag.Bool("trouble", true, "order a rollout to the version that runs")
+	pids := flag.String("pids", "", "`DIRECTORY` of the files with the process IDs of the instances")
 	out := flag.String("record", "record.txt", "`FILE` for what was sent, run and answered")
 	flag.Parse()
 	file, err := os.Create(*out)
@@ -81,27 +77,24 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(2)
 	}
-	w := &world{
-		store: "http://" + *network + ".1:7000/objects/", start: time.Now(), out: file,
-		arrivals: map[string][]time.Time{}, answers: map[int]int{},
-	}
-	broken, err := w.run(*network, *trouble)
+	w := &world{store: "http://" + *network + ".1:7000/objects/", start: time.Now(), out: file}
+	broken, err := w.run(*network, *pids, *trouble)
 	code := 0
 	switch {
 	case err != nil:
 		w.printf("could not run: %v", err)
 		code = 2
 	case broken:
-		w.printf("EXPOSURE is broken")
+		w.printf("RECOVER is broken")
 		code = 1
 	default:
-		w.printf("EXPOSURE held")
+		w.printf("RECOVER held")
 	}
 	_ = file.Close()
 	os.Exit(code)
 }
 
-func (w *world) run(network string, trouble bool) (bool, error) {
+func (w *world) run(network, pids string, trouble bool) (bool, error) {
 	if err := w.setUp(network); err != nil {
 		return false, err
 	}
@@ -111,63 +104,65 @@
 	w.printf("traffic begins, a request each %s", callInterval)
 	var callers sync.WaitGroup
 	callers.Go(func() { w.callAll(ctx, network) })
-	time.Sleep(firstOrderAt)
-	if err := w.startServers(network, "v2", 40); err != nil {
-		return false, err
-	}
-	ordered := time.Now()
-	if err := w.order("v2"); err != nil {
-		return false, err
-	}
-	if err := w.awaitRollback(ctx); err != nil {
-		return false, err
-	}
-	w.printf("the system has rolled v2 back")
+	time.Sleep(orderAt)
 	if trouble {
-		if err := w.startServers(network, "v3", 50); err != nil {
+		if err := w.order("v1"); err != nil {
 			return false, err
 		}
-		if err := w.order("v3"); err != nil {
+		w.printf("the order is acknowledged")
+	}
+	fault := time.Now()
+	for n := range instances {
+		if err := kill(fmt.Sprintf("%s/pid-%d", pids, n)); err != nil {
 			return false, err
 		}
 	}
-	time.Sleep(drainAfter)
-	if err := w.endServers(network, "v2", 40); err != nil {
-		return false, err
-	}
+	w.printf("all instances are killed, they start again %s later", downTime)
 	callers.Wait()
-	w.printf("traffic ends after %.1f s", time.Since(began).Seconds())
-	return w.judge(ordered), nil
+	return w.judge(began, fault, fault.Add(downTime)), nil
 }
 
-// judge applies the rule to what the servers have seen.
-func (w *world) judge(ordered time.Time) bool {
+// kill ends the process whose ID a file holds.
+func kill(file string) error {
+	content, err := os.ReadFile(file)
+	if err != nil {
+		return err
+	}
+	pid, err := strconv.Atoi(strings.TrimSpace(string(content)))
+	if err != nil {
+		return err
+	}
+	return syscall.Kill(pid, syscall.SIGKILL)
+}
+
+// judge applies the rule to what the callers have seen.
+func (w *world) judge(began, fault, back time.Time) bool {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	all, bad := 0, 0
-	for version, times := range w.arrivals {
-		within := 0
-		for _, at := range times {
-			if !at.Before(ordered) && at.Before(ordered.Add(timeBudget)) {
-				within++
+	share := func(name string, from, to time.Time) float64 {
+		served, count := 0, 0
+		for _, s := range w.calls {
+			if s.at.Before(from) || !s.at.Before(to) {
+				continue
+			}
+			count++
+			if s.status == http.StatusOK {
+				served++
 			}
 		}
-		w.print("%s got %d requests, %d of them within the time budget of v2", version, len(times), within)
-		all += within
-		if version == "v2" {
-			bad = within
-		}
+		w.print("%d of %d requests are served that were sent %s", served, count, name)
+		return float64(served) / float64(max(1, count))
 	}
-	allowed := exposureShare*float64(all) + exposureSlack
-	w.print("answers to callers by status: %v", w.answers)
-	w.print("v2 got %d of %d requests within its time budget, allowed %.0f; %d later than %s after its 50th bad answer", bad, all, allowed, w.late, rollbackTime)
-	return float64(bad) > allowed || w.late > 0
+	before := share("before the fault", began, fault)
+	share("from the fault to recover_s after the instances are back", fault, back.Add(recoverTime))
+	after := share("later than recover_s after the instances are back", back.Add(recoverTime), began.Add(length))
+	return before >= servedShare && after < servedShare
 }
 
 // setUp writes the configuration, starts the servers of v1 and waits for the instances.
 func (w *world) setUp(network string) error {
-	config := fmt.Sprintf(`{"version":3,"routes":[{"name":"r-1","hostname":%q,"path_prefix":"/unsafe/","kind":"unsafe","timeout_ms":1500,`+
-		`"target_latency_ms":100,"service":"s","max_attempts":1}],"services":[{"name":"s","health_path":"/healthz","max_connections":110}],`+
+	config := fmt.Sprintf(`{"version":3,"routes":[{"name":"r-1","hostname":%q,"path_prefix":"/safe/","kind":"safe","timeout_ms":1500,`+
+		`"target_latency_ms":100,"service":"s","max_attempts":2}],"services":[{"name":"s","health_path":"/healthz","max_connections":110}],`+
 		`"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000},`+
 		`"tenants":[{"name":"team","api_keys":[%q]}]}`, host, key)
 	if err := await(func() error { return w.put("config/main", config) }); err != nil {
@@ -206,24 +201,6 @@
 	return nil
 }
 
-// endServers lets the servers of a version drain, and removes them.
-func (w *world) endServers(network, version string, firstHost int) error {
-	w.printf("the servers of %s drain", version)
-	for n := range serversEach {
-		if err := w.register(fmt.Sprintf("i-%s-%d", version, n), fmt.Sprintf("%s.%d:7400", network, firstHost+n), version, "draining"); err != nil {
-			return err
-		}
-	}
-	time.Sleep(drainTime)
-	for n := range serversEach {
-		if _, err := send(http.MethodDelete, fmt.Sprintf("%sservers/i-%s-%d", w.store, version, n), ""); err != nil {
-			return err
-		}
-	}
-	w.printf("the servers of %s are gone", version)
-	return nil
-}
-
 func (w *world) register(id, address, version, state string) error {
 	return w.put("servers/"+id, fmt.Sprintf(`{"service":"s","address":%q,"zone":"z-1","version":%q,"slots":%d,"state":%q,"born":7,"sequence":1}`,
 		address, version, slots, state))
@@ -235,34 +212,6 @@
 	return w.put("rollouts/s", fmt.Sprintf(`{"service":"s","target":%q,"duration_s":%g}`, version, timeBudget.Seconds()))
 }
 
-// awaitRollback waits until the system has rolled v2 back.
-func (w *world) awaitRollback(ctx context.Context) error {
-	for ctx.Err() == nil {
-		body, err := send(http.MethodGet, w.store+"rollouts", "")
-		if err != nil {
-			return err
-		}
-		var list struct {
-			Items []struct {
-				Status struct {
-					State  string `json:"state"`
-					Target string `json:"target"`
-				} `json:"status"`
-			} `json:"items"`
-		}
-		if err := json.Unmarshal(body, &list); err != nil {
-			return err
-		}
-		for _, item := range list.Items {
-			if item.Status.State == "rolled_back" && item.Status.Target == "v2" {
-				return nil
-			}
-		}
-		time.Sleep(50 * time.Millisecond)
-	}
-	return errors.New("v2 was not rolled back")
-}
-
 func (w *world) put(path, spec string) error {
 	_, err := send(http.MethodPut, w.store+path, `{"metadata":{},"spec":`+spec+`}`)
 	return err
@@ -281,7 +230,7 @@
 		case <-ticker.C:
 		}
 		calls.Go(func() {
-			w.call(fmt.Sprintf("http://%s.%d:8080/unsafe/x", network, 100+n%instances), fmt.Sprintf("a-%d", n))
+			w.call(fmt.Sprintf("http://%s.%d:8080/safe/x", network, 100+n%instances), fmt.Sprintf("a-%d", n))
 		})
 	}
 }
@@ -290,8 +239,8 @@
 func (w *world) call(url, id string) {
 	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
 	defer cancel()
-	status := 0
-	if request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, strings.NewReader("a booking")); err == nil {
+	status, sentAt := 0, time.Now()
+	if request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, http.NoBody); err == nil {
 		request.Host = host
 		request.Header.Set("X-Attempt-Id", id)
 		request.Header.Set("X-Credential", key)
@@ -304,11 +253,11 @@
 	}
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	w.answers[status]++
+	w.calls = append(w.calls, sent{sentAt, status})
 	w.print("caller: %s is answered %d", id, status)
 }
 
-// A server is a server of one version. A part of the answers of v2 are failures.
+// A server is a server of one version.
 type server struct {
 	world       *world
 	id, version string
@@ -332,31 +281,10 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	fails := s.version == "v2" && rand.Float64() < failingShare
-	s.world.record(s, id, fails)
+	s.world.printf("server: %s of %s runs %s", s.id, s.version, id)
 	time.Sleep(workTime)
 	w.Header().Set("X-Server-Stamp", s.id)
-	if fails {
-		w.WriteHeader(http.StatusInternalServerError)
-	}
-	_, _ = io.WriteString(w, "the booking of "+s.id)
-}
-
-// record records a request that a server runs.
-func (w *world) record(s *server, id string, fails bool) {
-	w.mutex.Lock()
-	defer w.mutex.Unlock()
-	now := time.Now()
-	w.arrivals[s.version] = append(w.arrivals[s.version], now)
-	w.print("server: %s runs %s, fails %t", s.id, id, fails)
-	if s.version == "v2" && !w.fiftieth.IsZero() && now.Sub(w.fiftieth) > rollbackTime {
-		w.late++
-	}
-	if fails {
-		if w.bad++; w.bad == badAnswers {
-			w.fiftieth = now
-		}
-	}
+	_, _ = io.WriteString(w, "the lookup of "+s.id)
 }
 
 // await repeats an attempt until it succeeds or setUpTime has passed.
--- a/review/third/streams/main.go
+++ b/review/third/streams/main.go
@@ -1,4 +1,4 @@
-// Command streams plays the servers and the callers of case 12 of the review. The events of a stream
+// Command streams plays the servers and the callers of case 13 of the review. The events of a stream
 // have increasing IDs that are not consecutive, as an ID that counts tokens is. Exit code 1 means
 // that the rule was broken, 0 that it held, and 2 that the case could not run.
 package main
