--- a/review/third/stops/main.go
+++ b/review/third/stops/main.go
@@ -26,7 +26,7 @@
 	servers   = 2
 	setUpTime = 15 * time.Second
 	// callers is the number of kept channels. The callers send a request each, one callInterval after
-	// the other from SIGTERM on.
+	// the other, the first half of one after SIGTERM, so that none is sent at the edge of excusedTime.
 	callers, callInterval = 18, 200 * time.Millisecond
 	// workTime is how long a request runs, and callerTime the time budget of its caller.
 	workTime, callerTime = 1200 * time.Millisecond, 1500 * time.Millisecond
@@ -113,7 +113,7 @@
 		group.Go(func() {
 			results[n] = w.call(network+".100:8080", fmt.Sprintf("a-%d", n), kept.Done, func() {
 				<-stopped
-				time.Sleep(time.Duration(n) * callInterval)
+				time.Sleep(time.Duration(n)*callInterval + callInterval/2)
 			})
 		})
 	}
