--- a/review/third/same/main.go
+++ b/review/third/same/main.go
@@ -29,10 +29,10 @@
 	workTime    = 15 * time.Millisecond
 	// callInterval is the time between two requests of all callers together.
 	callInterval = 25 * time.Millisecond
-	// orderAt and length are counted from the start of traffic.
-	orderAt, length = 4 * time.Second, 30 * time.Second
+	// orderAt and length are counted from the start of traffic, which ends 8 s after recoverTime.
+	orderAt, length = 4 * time.Second, 24500 * time.Millisecond
 	// timeBudget is the duration_s of the order, and downTime how long the instances are down.
-	timeBudget, downTime = 60 * time.Second, 500 * time.Millisecond
+	timeBudget, downTime = 24 * time.Second, 500 * time.Millisecond
 	// recoverTime is the bound of the rule, and servedShare the share that counts as recovered.
 	recoverTime, servedShare = 12 * time.Second, 0.25
 	setUpTime                = 15 * time.Second
